--- /dev/null
+++ b/src/main/java/shorecrank/bookkeeping/JobRecord.java
@@ -0,0 +1,148 @@
+package shorecrank.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import shorecrank.protocol.Ids.Attempt;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.Tenure;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.UserMessages.Phase;
+
+/**
+ * The record of an unfinished job, as it stands in the store.
+ *
+ * <p>{@code seq} counts the writer's writes to this record, so that a writer that got no answer can
+ * tell which of its writes was applied.
+ */
+public record JobRecord(
+    JobSpec spec,
+    Epoch epoch,
+    WriterId writer,
+    long seq,
+    BitSet done,
+    List<LiveRange> live,
+    long tries,
+    boolean aborted,
+    long acceptedAtMs) {
+
+  /** Tasks placed on one machine in one round. Those already done do not count as live. */
+  public record LiveRange(int first, int count, HostName host, Tenure tenure, Attempt attempt) {}
+
+  public static final String LIVE = "j/";
+  public static final String FINAL = "f/";
+  public static final String NOTICE = "n/";
+
+  public static String liveKey(JobId id) {
+    return LIVE + id.value();
+  }
+
+  public static String finalKey(JobId id) {
+    return FINAL + id.value();
+  }
+
+  public int running() {
+    int n = 0;
+    for (LiveRange r : live) {
+      n += r.count - done.get(r.first, r.first + r.count).cardinality();
+    }
+    return n;
+  }
+
+  public Phase phase() {
+    if (aborted) {
+      return Phase.WITHDRAWN;
+    }
+    return running() > 0 ? Phase.RUNNING : Phase.QUEUED;
+  }
+
+  public ObjectNode write() {
+    ObjectNode n = Json.object();
+    n.put("e", epoch.value()).put("w", writer.value()).put("q", seq).put("t", tries);
+    n.put("at", acceptedAtMs);
+    if (aborted) {
+      n.put("x", true);
+    }
+    ArrayNode d = n.putArray("d");
+    for (int i = done.nextSetBit(0); i >= 0; ) {
+      int end = done.nextClearBit(i);
+      d.add(i).add(end - i);
+      i = done.nextSetBit(end);
+    }
+    ArrayNode l = n.putArray("l");
+    for (LiveRange r : live) {
+      l.addArray()
+          .add(r.first)
+          .add(r.count)
+          .add(r.host.value())
+          .add(r.tenure.value())
+          .add(r.attempt.value());
+    }
+    n.set("s", spec.write());
+    return n;
+  }
+
+  /** Null if it is not such a record. */
+  public static JobRecord read(JsonNode n) {
+    JobSpec spec;
+    try {
+      spec = JobSpec.read(n.path("s"));
+    } catch (JobSpec.Malformed e) {
+      return null;
+    }
+    BitSet done = new BitSet();
+    JsonNode d = n.path("d");
+    for (int i = 0; i + 1 < d.size(); i += 2) {
+      int first = d.get(i).asInt();
+      int count = d.get(i + 1).asInt();
+      if (first < 0 || count < 0 || first + count > spec.tasks()) {
+        return null;
+      }
+      done.set(first, first + count);
+    }
+    List<LiveRange> live = new ArrayList<>();
+    for (JsonNode r : n.path("l")) {
+      LiveRange lr =
+          new LiveRange(
+              r.path(0).asInt(-1),
+              r.path(1).asInt(-1),
+              new HostName(r.path(2).asText()),
+              new Tenure(r.path(3).asLong()),
+              new Attempt(r.path(4).asLong()));
+      if (lr.first < 0 || lr.count < 0 || lr.first + lr.count > spec.tasks()) {
+        return null;
+      }
+      live.add(lr);
+    }
+    return new JobRecord(
+        spec,
+        new Epoch(n.path("e").asLong()),
+        new WriterId(n.path("w").asText()),
+        n.path("q").asLong(),
+        done,
+        live,
+        n.path("t").asLong(),
+        n.path("x").asBoolean(false),
+        n.path("at").asLong());
+  }
+
+  /** The short record that is kept for ever once a job is over. */
+  public static ObjectNode writeFinal(Phase phase, int done) {
+    return Json.object().put("p", phase == Phase.DONE ? "done" : "withdrawn").put("n", done);
+  }
+
+  /** How a job ended. */
+  public record Final(Phase phase, int done) {
+    public static Final read(JsonNode n) {
+      return new Final(
+          "done".equals(n.path("p").asText()) ? Phase.DONE : Phase.WITHDRAWN, n.path("n").asInt());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/config/Tuning.java
@@ -0,0 +1,16 @@
+package shorecrank.config;
+
+/** The operators' own settings; {@link TuningFile} reads them and knows ranges and defaults. */
+public record Tuning(
+    int parts,
+    int leaseMs,
+    int renewMs,
+    int leaderTtlMs,
+    int graceMs,
+    int stateFreshMs,
+    int sampleSize,
+    int roundMs,
+    int roundBudgetMs,
+    int mergeMs,
+    int idleReturnS,
+    double clearS) {}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -0,0 +1,415 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.Tuning;
+import shorecrank.protocol.CloudMessages;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.PeerMessages;
+import shorecrank.protocol.PeerMessages.Beat;
+import shorecrank.protocol.PeerMessages.BeatAnswer;
+import shorecrank.protocol.PeerMessages.HostInfo;
+import shorecrank.protocol.PeerMessages.Lease;
+import shorecrank.protocol.PeerMessages.Lent;
+import shorecrank.protocol.PeerMessages.OwnerInfo;
+import shorecrank.protocol.PeerMessages.PartBeat;
+import shorecrank.protocol.StoreMessages;
+import shorecrank.protocol.WorkerMessages;
+import shorecrank.protocol.WorkerMessages.Report;
+
+/**
+ * One controller as a state machine: inputs in, what to send, write and answer out. It holds no
+ * I/O, clock, thread or random source.
+ */
+public final class Core {
+  private static final String CATALOG = "catalog";
+
+  private final Ports ports;
+  private final Election election;
+  private final Leader leader;
+  private final UserDesk desk;
+  private final Map<PartId, Steward> stewards = new TreeMap<>();
+  private final Map<PartId, OwnerInfo> owners = new TreeMap<>();
+  private final Map<HostName, PartId> lent = new LinkedHashMap<>();
+  private final Map<HostName, HostInfo> seen = new LinkedHashMap<>();
+  private List<Lent> lentList = List.of();
+  private long lendVersion = -1;
+  private Mono beatAt = new Mono(0);
+  private boolean beating;
+  private Mono peerHeardAt = Mono.NEVER;
+  private boolean othersStateOk;
+  private Mono othersAt = Mono.NEVER;
+  private Map<String, HostType> catalog = Map.of();
+  private boolean catalogBusy;
+  private boolean catalogStored;
+  private Mono catalogAt = new Mono(0);
+  private Mono probeAt = new Mono(0);
+
+  public Core(NodeConfig config, Tuning tuning, WriterId writer) {
+    this.ports = new Ports(config, tuning, writer);
+    this.election = new Election(ports);
+    this.leader = new Leader(ports, election);
+    this.desk = new UserDesk(ports);
+  }
+
+  /**
+   * One step.
+   *
+   * @param now the steady clock
+   * @param wallMs the time of day
+   * @param entropy fresh random bits for this step
+   */
+  public List<Output> step(Input in, Mono now, long wallMs, long entropy) {
+    ports.begin(now, wallMs, entropy);
+    if (in instanceof Input.Request r) {
+      request(r);
+    } else if (in instanceof Input.Answer a) {
+      ports.answered(a);
+    } else if (in instanceof Input.Tick t) {
+      tick(t);
+    }
+    return ports.end();
+  }
+
+  private void tick(Input.Tick t) {
+    Mono now = ports.now();
+    election.tick();
+    leader.tick();
+    if (!beating && !now.before(beatAt)) {
+      beat();
+    }
+    catalogWork();
+    if (!now.before(probeAt)) {
+      probeAt = now.plus(1000);
+      if (now.since(ports.stateOkAt()) > 900) {
+        ports.state("GET", StoreMessages.key(Election.KEY), null, 1500, (status, body) -> {});
+      }
+    }
+    for (Steward s : stewards.values()) {
+      s.tick(t.budget());
+    }
+  }
+
+  // ---- requests ------------------------------------------------------------------------------
+
+  private void request(Input.Request r) {
+    String path = r.path();
+    int q = path.indexOf('?');
+    if (q >= 0) {
+      path = path.substring(0, q);
+    }
+    if (r.fromPeer()) {
+      peer(r, path);
+      return;
+    }
+    switch (path) {
+      case "/healthz" -> only("GET", r, () -> health(r));
+      case "/api/jobs" -> only("POST", r, () -> desk.submit(r.reply(), r.body()));
+      case "/v1/report" -> only("POST", r, () -> report(r));
+      default -> {
+        if (path.startsWith("/api/jobs/")) {
+          String rest = path.substring("/api/jobs/".length());
+          if (rest.endsWith("/abort") && rest.indexOf('/') == rest.length() - 6) {
+            String id = rest.substring(0, rest.length() - 6);
+            only("POST", r, () -> desk.cancel(r.reply(), id));
+            return;
+          }
+          if (!rest.isEmpty() && rest.indexOf('/') < 0) {
+            only("GET", r, () -> desk.status(r.reply(), rest));
+            return;
+          }
+        }
+        ports.reply(r.reply(), 404, Json.error("no such path"));
+      }
+    }
+  }
+
+  private void only(String method, Input.Request r, Runnable then) {
+    if (r.method().equals(method)) {
+      then.run();
+    } else {
+      ports.reply(r.reply(), 405, Json.error("only " + method));
+    }
+  }
+
+  private void health(Input.Request r) {
+    Mono now = ports.now();
+    boolean othersServe = othersStateOk && now.since(othersAt) < 4000;
+    boolean alone = !ports.config.members().isEmpty() && now.since(peerHeardAt) > 6000;
+    // In an outage of the state service no controller is better than another, and all stay healthy.
+    boolean ok =
+        !catalog.isEmpty() && (now.since(ports.stateOkAt()) < 5000 || (!othersServe && !alone));
+    ports.reply(
+        r.reply(), ok ? 200 : 503, Json.object().put("status", ok ? "serving" : "not serving"));
+  }
+
+  private void peer(Input.Request r, String path) {
+    switch (path) {
+      case PeerMessages.BEAT -> only("POST", r, () -> peerBeat(r));
+      case PeerMessages.NUDGE ->
+          only(
+              "POST",
+              r,
+              () -> {
+                beatAt = ports.now();
+                ports.reply(r.reply(), 200, Json.object());
+              });
+      default -> ports.reply(r.reply(), 404, Json.error("no such path"));
+    }
+  }
+
+  private void peerBeat(Input.Request r) {
+    Beat b = PeerMessages.readBeat(Json.parse(r.body()));
+    if (b == null) {
+      ports.reply(r.reply(), 400, Json.error("malformed beat"));
+      return;
+    }
+    peerHeardAt = ports.now();
+    if (b.stateOk()) {
+      othersStateOk = true;
+      othersAt = ports.now();
+    } else if (ports.now().since(othersAt) > 2000) {
+      othersStateOk = false;
+    }
+    BeatAnswer a = leader.beat(b);
+    if (a == null) {
+      ports.reply(r.reply(), 503, Json.object().put("stateOk", ports.stateOk()));
+    } else {
+      ports.reply(r.reply(), 200, PeerMessages.write(a));
+    }
+  }
+
+  private void report(Input.Request r) {
+    Report w = WorkerMessages.read(Json.parse(r.body()));
+    if (w == null) {
+      ports.info("malformed report refused");
+      ports.reply(r.reply(), 400, Json.error("malformed report"));
+      return;
+    }
+    PartId part = lent.get(w.host());
+    if (part == null) {
+      seen.put(w.host(), new HostInfo(w.host(), w.type(), w.zone(), w.spot()));
+      beatAt = ports.now().plus(100).before(beatAt) ? ports.now().plus(100) : beatAt;
+      NodeLabel l = election.leader();
+      ports.reply(
+          r.reply(),
+          421,
+          WorkerMessages.elsewhere(l == null || l.equals(ports.config.label()) ? null : l));
+      return;
+    }
+    Steward s = stewards.get(part);
+    if (s != null) {
+      boolean alone = ports.now().since(peerHeardAt) > 4000;
+      if (s.valid() || s.inGrace(alone)) {
+        JsonNode answer = s.report(w, s.valid());
+        if (answer != null) {
+          ports.reply(r.reply(), 200, answer);
+          return;
+        }
+      }
+      ports.reply(r.reply(), 503, Json.error("not entitled now"));
+      return;
+    }
+    OwnerInfo o = owners.get(part);
+    ports.reply(
+        r.reply(),
+        421,
+        WorkerMessages.elsewhere(
+            o == null || o.label().equals(ports.config.label()) ? null : o.label()));
+  }
+
+  // ---- beats ---------------------------------------------------------------------------------
+
+  private void beat() {
+    Mono now = ports.now();
+    NodeLabel to = election.leader();
+    int renew = ports.tuning.renewMs();
+    beatAt = now.plus(renew - renew / 10 + ports.random().nextInt(renew / 5 + 1));
+    List<PartBeat> parts = new ArrayList<>();
+    stewards.values().forEach(s -> parts.add(s.beat()));
+    Beat b =
+        new Beat(
+            ports.config.label(),
+            ports.writer,
+            ports.stateOk(),
+            lendVersion,
+            parts,
+            new ArrayList<>(seen.values()));
+    seen.clear();
+    if (election.holding()) {
+      BeatAnswer a = leader.beat(b);
+      if (a != null) {
+        answered(a, now);
+      }
+      return;
+    }
+    if (to == null) {
+      beatAt = now.plus(150);
+      return;
+    }
+    beating = true;
+    ports.peer(
+        to,
+        PeerMessages.BEAT,
+        PeerMessages.write(b),
+        Math.max(500, renew * 2),
+        (status, body) -> {
+          beating = false;
+          if (status != 0) {
+            peerHeardAt = ports.now();
+          }
+          BeatAnswer a = status == 200 ? PeerMessages.readAnswer(body) : null;
+          if (a != null) {
+            answered(a, now);
+          } else {
+            if (status == 503 && !body.path("stateOk").asBoolean(true)) {
+              othersStateOk = false;
+            }
+            beatAt = ports.now().plus(300);
+          }
+        });
+  }
+
+  private void answered(BeatAnswer a, Mono sent) {
+    othersStateOk = a.othersStateOk() || !election.holding();
+    othersAt = ports.now();
+    owners.clear();
+    a.owners().forEach(o -> owners.put(o.part(), o));
+    for (OwnerInfo o : a.owners()) {
+      Steward s = stewards.get(o.part());
+      if (s != null && o.epoch().above(s.epoch()) && !o.label().equals(ports.config.label())) {
+        s.end("owner is " + o.label() + " at epoch " + o.epoch());
+        stewards.remove(o.part());
+      }
+    }
+    // A part we hold that the leader neither renews nor gives to another is being taken back.
+    for (PartId p : new ArrayList<>(stewards.keySet())) {
+      boolean kept = a.leases().stream().anyMatch(l -> l.part().equals(p));
+      if (!kept) {
+        stewards.remove(p).end("not renewed by the leader");
+        beatAt = ports.now();
+      }
+    }
+    if (a.lent() != null) {
+      lendVersion = a.lendVersion();
+      lentList = a.lent();
+      lent.clear();
+      a.lent().forEach(l -> lent.put(l.host().name(), l.part()));
+    }
+    for (Lease l : a.leases()) {
+      // Counted from before the request was sent, so that no delay can lengthen it.
+      Mono until = sent.plus(l.ttlMs() - l.ttlMs() / 500 - 20);
+      Steward s = stewards.get(l.part());
+      if (s == null) {
+        s = new Steward(ports, l.part(), l.epoch(), ports.now());
+        s.catalog(catalog);
+        s.lent(lentList);
+        stewards.put(l.part(), s);
+      }
+      s.lease(l.epoch(), until);
+    }
+    ports.ownedShare((double) stewards.size() / ports.tuning.parts());
+    for (Steward s : stewards.values()) {
+      if (a.lent() != null) {
+        s.lent(a.lent());
+      }
+      s.gone(a.gone());
+      s.renting.blocked(a.blocked());
+    }
+    ports.gauge("parts.owned", stewards.size());
+  }
+
+  // ---- machine types -------------------------------------------------------------------------
+
+  private void catalogWork() {
+    Mono now = ports.now();
+    if (catalogBusy || now.before(catalogAt)) {
+      return;
+    }
+    catalogBusy = true;
+    if (catalog.isEmpty()) {
+      ports.state(
+          "GET",
+          StoreMessages.key(CATALOG),
+          null,
+          1500,
+          (status, body) -> {
+            catalogBusy = false;
+            if (status == 200) {
+              catalog(CloudMessages.catalog(StoreMessages.entry(body).value()));
+              catalogStored = true;
+              catalogAt = ports.now().plus(1000);
+            } else {
+              askCloud();
+            }
+          });
+    } else if (election.leading()) {
+      askCloud();
+    } else {
+      catalogBusy = false;
+      catalogAt = now.plus(2000);
+    }
+  }
+
+  private void askCloud() {
+    catalogBusy = true;
+    ports.cloud(
+        "GET",
+        CloudMessages.CATALOG,
+        null,
+        4000,
+        (status, body) -> {
+          catalogBusy = false;
+          Map<String, HostType> c =
+              status == 200 ? CloudMessages.catalog(body) : new TreeMap<String, HostType>();
+          if (c.isEmpty()) {
+            catalogAt = ports.now().plus(1000);
+            return;
+          }
+          catalogAt = ports.now().plus(60_000);
+          catalog(c);
+          if (!catalogStored && election.leading()) {
+            catalogStored = true;
+            // For controllers that start while the cloud can't be asked.
+            ports.state(
+                "POST",
+                StoreMessages.MULTI,
+                new StoreMessages.Txn()
+                    .guard(Election.KEY, election.term())
+                    .write(CATALOG, body)
+                    .body(),
+                2000,
+                (s, b) -> catalogStored = s == 200);
+          }
+        });
+  }
+
+  private void catalog(Map<String, HostType> c) {
+    if (c.isEmpty()) {
+      return;
+    }
+    catalog = c;
+    desk.catalog(c);
+    leader.catalog(c);
+    stewards.values().forEach(s -> s.catalog(c));
+  }
+
+  /** The epochs of the parts owned here, for observers. */
+  public Map<PartId, Epoch> owned() {
+    Map<PartId, Epoch> m = new TreeMap<>();
+    stewards.forEach((p, s) -> m.put(p, s.epoch()));
+    return m;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -0,0 +1,132 @@
+package shorecrank.coordination;
+
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.Tenure;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.PeerMessages.HostInfo;
+
+/** A machine lent to a part, as the part's owner sees it. */
+final class Host {
+  record Ghost(Job job, int index) {}
+
+  final HostName name;
+  HostInfo info;
+  HostType type;
+  boolean lent;
+  boolean recall;
+  Mono lentSince = Mono.NEVER;
+
+  Tenure tenure = new Tenure(0);
+  long serial = -1;
+  Mono lastHeard = Mono.NEVER;
+  Mono firstHeard = Mono.NEVER;
+
+  /** It has seen our epoch, so no earlier owner can renew its lease. */
+  boolean confirmed;
+
+  /** What is on it is known: a report was taken in. */
+  boolean known;
+
+  Tenure deadTenure = new Tenure(-1);
+  boolean noticed;
+  boolean retiring;
+  Mono quarantinedUntil = Mono.NEVER;
+  Mono noRoomUntil = Mono.NEVER;
+  int errors;
+  int quarantines;
+  Mono idleSince = Mono.NEVER;
+  int listedTasks;
+
+  final Set<LiveTask> live = new ObjectLinkedOpenHashSet<>();
+  final List<Ghost> ghosts = new ArrayList<>();
+  final LinkedHashSet<String> images = new LinkedHashSet<>();
+  private double cpus;
+  private double gpus;
+  private double memoryGb;
+
+  Host(HostName name) {
+    this.name = name;
+  }
+
+  void add(LiveTask t) {
+    if (live.add(t)) {
+      use(t.job.spec, 1);
+    }
+  }
+
+  void remove(LiveTask t) {
+    if (live.remove(t)) {
+      use(t.job.spec, -1);
+    }
+  }
+
+  void addGhost(Job j, int index) {
+    ghosts.add(new Ghost(j, index));
+    j.ghost(index);
+    use(j.spec, 1);
+  }
+
+  void clearGhosts() {
+    for (Ghost g : ghosts) {
+      g.job.unghost(g.index);
+      use(g.job.spec, -1);
+    }
+    ghosts.clear();
+  }
+
+  private void use(JobSpec s, int sign) {
+    cpus += sign * s.cpus();
+    gpus += sign * s.gpus();
+    memoryGb += sign * s.memoryGb();
+  }
+
+  boolean empty() {
+    return live.isEmpty() && ghosts.isEmpty();
+  }
+
+  double usedCpus() {
+    return cpus;
+  }
+
+  double freeCpus() {
+    return type == null ? 0 : type.cpus() - cpus;
+  }
+
+  /** How many more tasks like this fit. */
+  int fits(JobSpec s) {
+    if (type == null) {
+      return 0;
+    }
+    double n = s.tasks();
+    n = fit(n, s.cpus(), type.cpus() - cpus);
+    n = fit(n, s.gpus(), type.gpus() - gpus);
+    n = fit(n, s.memoryGb(), type.memoryGb() - memoryGb);
+    return (int) Math.max(0, n);
+  }
+
+  private static double fit(double n, double each, double free) {
+    return each <= 0 ? n : Math.min(n, Math.floor(free / each + 1e-9));
+  }
+
+  Offer offer() {
+    return new Offer(info.type(), info.zone(), info.spot());
+  }
+
+  /** Type, zone and kind are such as the job allows. */
+  boolean allowed(JobSpec s) {
+    return info != null && type != null && Placement.allowed(s, offer(), type);
+  }
+
+  boolean reported() {
+    return firstHeard != Mono.NEVER;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -0,0 +1,229 @@
+package shorecrank.coordination;
+
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import shorecrank.bookkeeping.JobRecord;
+import shorecrank.bookkeeping.JobRecord.LiveRange;
+import shorecrank.protocol.Ids.Attempt;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.TaskRun;
+import shorecrank.protocol.Ids.Tenure;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.WorkerMessages.TaskState;
+
+/** An unfinished job as its owner sees it: the record plus what is not yet written. */
+final class Job {
+  /** One attempt placed on a machine, from before its record is written until it is surely off. */
+  static final class LiveTask {
+    final Job job;
+    final int index;
+    final Host host;
+    final Tenure tenure;
+    final Attempt attempt;
+
+    /** The write that holds this placement; commands wait until it is committed. */
+    final long seq;
+
+    boolean seen;
+    TaskState state;
+    boolean stopping;
+    boolean revoked;
+    Mono placedAt;
+    Mono runningSince;
+
+    LiveTask(Job job, int index, Host host, Tenure tenure, Attempt attempt, long seq, Mono at) {
+      this.job = job;
+      this.index = index;
+      this.host = host;
+      this.tenure = tenure;
+      this.attempt = attempt;
+      this.seq = seq;
+      this.placedAt = at;
+    }
+
+    TaskRun run() {
+      return new TaskRun(job.spec.id(), index, attempt);
+    }
+
+    boolean committed() {
+      return seq <= job.committedSeq;
+    }
+  }
+
+  enum Urgency {
+    NONE,
+    LATER,
+    NOW
+  }
+
+  final JobSpec spec;
+  final long acceptedAtMs;
+  Stamp stamp;
+  Epoch epoch;
+  WriterId writer;
+  long seq;
+  long committedSeq;
+  long tries;
+  boolean aborted;
+  boolean claimed;
+  boolean noticed;
+  boolean inFlight;
+  boolean rereading;
+  Urgency dirty = Urgency.NONE;
+  Mono dirtySince = Mono.NEVER;
+  Mono writeAfter = Mono.NEVER;
+  boolean recordFull;
+
+  final BitSet done = new BitSet();
+  final BitSet taken = new BitSet();
+  final Int2ObjectAVLTreeMap<LiveTask> live = new Int2ObjectAVLTreeMap<>();
+  private final Int2IntOpenHashMap ghosts = new Int2IntOpenHashMap();
+
+  /** Exits seen but not yet recorded: the write that will hold them. */
+  final Map<TaskRun, Long> exits = new HashMap<>();
+
+  Mono placeAfter = Mono.NEVER;
+  final Set<HostName> failedOn = new ObjectOpenHashSet<>();
+  int backoff;
+
+  /** Writes of this object are numbered above it; no other of this process shares the range. */
+  private final long base;
+
+  Job(JobRecord r, Stamp stamp, long life) {
+    this.spec = r.spec();
+    this.acceptedAtMs = r.acceptedAtMs();
+    this.base = life << 24;
+    this.seq = base;
+    adoptHead(r, stamp);
+  }
+
+  /** The record holds a write of this very object, so memory is as new or newer. */
+  boolean wrote(JobRecord r, WriterId me) {
+    return r.writer().equals(me) && r.seq() > base;
+  }
+
+  JobId id() {
+    return spec.id();
+  }
+
+  /** Takes over all of a record but its live ranges. */
+  void adoptHead(JobRecord r, Stamp st) {
+    stamp = st;
+    epoch = r.epoch();
+    writer = r.writer();
+    committedSeq = seq;
+    tries = Math.max(tries, r.tries());
+    aborted |= r.aborted();
+    done.clear();
+    done.or(r.done());
+    taken.or(done);
+    exits.clear();
+  }
+
+  int doneCount() {
+    return done.cardinality();
+  }
+
+  boolean complete() {
+    return done.cardinality() == spec.tasks();
+  }
+
+  int queued() {
+    return aborted ? 0 : Math.max(0, spec.tasks() - taken.cardinality());
+  }
+
+  int nextQueued(int from) {
+    int i = taken.nextClearBit(from);
+    return i < spec.tasks() ? i : -1;
+  }
+
+  void add(LiveTask t) {
+    live.put(t.index, t);
+    taken.set(t.index);
+    t.host.add(t);
+  }
+
+  void remove(LiveTask t) {
+    if (live.get(t.index) == t) {
+      live.remove(t.index);
+      release(t.index);
+    }
+    t.host.remove(t);
+  }
+
+  /** An attempt that no record names is on a machine: the task must not start elsewhere. */
+  void ghost(int index) {
+    taken.set(index);
+    ghosts.addTo(index, 1);
+  }
+
+  private void release(int index) {
+    if (!done.get(index) && !live.containsKey(index) && !ghosts.containsKey(index)) {
+      taken.clear(index);
+    }
+  }
+
+  void unghost(int index) {
+    if (ghosts.addTo(index, -1) <= 1) {
+      ghosts.remove(index);
+    }
+    release(index);
+  }
+
+  boolean hasGhosts() {
+    return !ghosts.isEmpty();
+  }
+
+  void touch(Urgency u, Mono now) {
+    if (dirty == Urgency.NONE) {
+      dirtySince = now;
+    }
+    if (u.compareTo(dirty) > 0) {
+      dirty = u;
+    }
+  }
+
+  JobRecord record(Epoch e, WriterId w) {
+    List<LiveRange> ranges = new ArrayList<>();
+    LiveTask first = null;
+    int end = 0;
+    for (LiveTask t : live.values()) {
+      // A range may span tasks that are done: they do not count as live.
+      if (first != null
+          && t.host == first.host
+          && t.tenure.equals(first.tenure)
+          && t.attempt.equals(first.attempt)
+          && done.nextClearBit(end) >= t.index) {
+        end = t.index + 1;
+        continue;
+      }
+      if (first != null) {
+        ranges.add(range(first, end));
+      }
+      first = t;
+      end = t.index + 1;
+    }
+    if (first != null) {
+      ranges.add(range(first, end));
+    }
+    return new JobRecord(
+        spec, e, w, seq, (BitSet) done.clone(), ranges, tries, aborted, acceptedAtMs);
+  }
+
+  private static LiveRange range(LiveTask first, int end) {
+    return new LiveRange(
+        first.index, end - first.index, first.host.name, first.tenure, first.attempt);
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -0,0 +1,827 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import shorecrank.bookkeeping.Budget;
+import shorecrank.protocol.CloudMessages;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.CloudMessages.Listed;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.PeerMessages;
+import shorecrank.protocol.PeerMessages.Beat;
+import shorecrank.protocol.PeerMessages.BeatAnswer;
+import shorecrank.protocol.PeerMessages.Blocked;
+import shorecrank.protocol.PeerMessages.HostInfo;
+import shorecrank.protocol.PeerMessages.Lease;
+import shorecrank.protocol.PeerMessages.Lent;
+import shorecrank.protocol.PeerMessages.OwnerInfo;
+import shorecrank.protocol.PeerMessages.PartBeat;
+import shorecrank.protocol.PeerMessages.Want;
+import shorecrank.protocol.StoreMessages;
+
+/** The leading controller's work: epochs, part leases, lending machines, dealing with the cloud. */
+final class Leader {
+  private static final String EPOCH = "epoch";
+  private static final String PART = "part/";
+  private static final String HOST = "host/";
+  private static final int CALL_MS = 1500;
+  private static final int CLOUD_MS = 6000;
+
+  private static final class Node {
+    WriterId writer;
+    boolean stateOk;
+    Mono stateBadSince = Mono.NEVER;
+    Mono heard = Mono.NEVER;
+  }
+
+  private static final class Part {
+    NodeLabel owner;
+    WriterId writer;
+    Epoch epoch = Epoch.NONE;
+    Mono leaseUntil = Mono.NEVER;
+    boolean vacant = true;
+    boolean revoking;
+    boolean minting;
+    boolean queued;
+  }
+
+  private static final class Host {
+    HostInfo info;
+    PartId part;
+    Epoch term;
+    Mono since;
+    boolean recall;
+    Mono listedAt = Mono.NEVER;
+  }
+
+  private record Claim(String name, Offer offer, int count, PartId part) {}
+
+  private final Ports ports;
+  private final Election election;
+  private final Map<NodeLabel, Node> nodes = new TreeMap<>();
+  private final Map<PartId, Part> parts = new TreeMap<>();
+  private final Map<HostName, Host> hosts = new TreeMap<>();
+  private final Map<HostName, Mono> released = new HashMap<>();
+  private final Map<Offer, Mono> blockedUntil = new LinkedHashMap<>();
+  private final Map<Offer, Integer> refusals = new HashMap<>();
+  private final Set<HostName> toRelease = new LinkedHashSet<>();
+  private final Set<HostName> releasing = new LinkedHashSet<>();
+  private final ArrayDeque<Claim> claims = new ArrayDeque<>();
+  private final List<Host> unsaved = new ArrayList<>();
+  private final Budget cloudCalls;
+  private Stamp loadedTerm = Stamp.ABSENT;
+  private boolean loading;
+  private Mono loadRetryAt = new Mono(0);
+  private Stamp epochStamp = Stamp.ABSENT;
+  private long epochCounter;
+  private boolean minting;
+  private boolean saving;
+  private boolean claiming;
+  private boolean listing;
+  private boolean releasingNow;
+  private long claimCount;
+  private long lendVersion;
+  private Mono listAt = new Mono(0);
+  private Mono cloudRetryAt = new Mono(0);
+  private Map<String, HostType> catalog = Map.of();
+
+  Leader(Ports ports, Election election) {
+    this.ports = ports;
+    this.election = election;
+    // Other controllers read the catalog now and then.
+    this.cloudCalls = new Budget(ports.config.cloud().rps() * 0.7);
+  }
+
+  void catalog(Map<String, HostType> c) {
+    catalog = c;
+  }
+
+  boolean ready() {
+    return election.leading() && loadedTerm.equals(election.term());
+  }
+
+  void tick() {
+    if (!election.leading()) {
+      return;
+    }
+    if (!ready()) {
+      if (!loading && !ports.now().before(loadRetryAt)) {
+        load();
+      }
+      return;
+    }
+    assignParts();
+    saveHosts();
+    cloudWork();
+  }
+
+  // ---- taking office -------------------------------------------------------------------------
+
+  private void load() {
+    loading = true;
+    Stamp term = election.term();
+    ports.state(
+        "GET",
+        StoreMessages.key(EPOCH),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status == 200) {
+            epochStamp = StoreMessages.entry(body).stamp();
+            epochCounter = body.path("data").path("v").asLong();
+          } else if (status == 404) {
+            epochStamp = Stamp.ABSENT;
+            epochCounter = 0;
+          } else {
+            loadLater();
+            return;
+          }
+          loadParts(term);
+        });
+  }
+
+  private void loadLater() {
+    loading = false;
+    loadRetryAt = ports.now().plus(300);
+  }
+
+  private void loadParts(Stamp term) {
+    ports.state(
+        "GET",
+        StoreMessages.list(PART, "", 200),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status != 200) {
+            loadLater();
+            return;
+          }
+          parts.clear();
+          for (int i = 0; i < ports.tuning.parts(); i++) {
+            parts.put(new PartId(i), new Part());
+          }
+          for (StoreMessages.Entry e : StoreMessages.entries(body)) {
+            PartId id = new PartId((int) Json.count(e.value().path("part")));
+            Part p = parts.get(id);
+            if (p == null) {
+              continue;
+            }
+            p.owner = new NodeLabel(Json.text(e.value().path("label")));
+            p.writer = new WriterId(Json.text(e.value().path("writer")));
+            p.epoch = new Epoch(e.value().path("epoch").asLong());
+            p.vacant = false;
+            // The last leader may have renewed the lease just before its term ended.
+            p.leaseUntil = ports.now().plus(leaseBound());
+          }
+          hosts.clear();
+          loadHosts(term, "");
+        });
+  }
+
+  private long leaseBound() {
+    return ports.tuning.leaseMs() + ports.tuning.leaseMs() / 500 + 20;
+  }
+
+  private void loadHosts(Stamp term, String after) {
+    ports.state(
+        "GET",
+        StoreMessages.list(HOST, after, 500),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status != 200) {
+            loadLater();
+            return;
+          }
+          String last = "";
+          for (StoreMessages.Entry e : StoreMessages.entries(body)) {
+            last = e.key();
+            JsonNode v = e.value();
+            Host h = new Host();
+            h.info =
+                new HostInfo(
+                    new HostName(e.key().substring(HOST.length())),
+                    v.path("type").asText(),
+                    v.path("zone").asText(),
+                    v.path("spot").asBoolean());
+            h.part = new PartId(v.path("part").asInt());
+            h.term = new Epoch(v.path("term").asLong());
+            h.since = ports.now();
+            hosts.put(h.info.name(), h);
+          }
+          if (StoreMessages.more(body) && !last.isEmpty()) {
+            loadHosts(term, last);
+            return;
+          }
+          loading = false;
+          if (election.term().equals(term) && election.leading()) {
+            loadedTerm = term;
+            nodes.clear();
+            claims.clear();
+            unsaved.clear();
+            toRelease.clear();
+            releasing.clear();
+            blockedUntil.clear();
+            saving = false;
+            claiming = false;
+            listing = false;
+            releasingNow = false;
+            minting = false;
+            lendVersion = term.value() << 20;
+            listAt = ports.now();
+            ports.info(
+                "term %s: epochs up to %d, %d machines known", term, epochCounter, hosts.size());
+          }
+        });
+  }
+
+  // ---- beats and leases ----------------------------------------------------------------------
+
+  /** Null while this controller can't answer for the leader. */
+  BeatAnswer beat(Beat b) {
+    if (!ready()) {
+      return null;
+    }
+    Mono now = ports.now();
+    Node node = nodes.computeIfAbsent(b.from(), k -> new Node());
+    node.heard = now;
+    node.writer = b.writer();
+    if (b.stateOk()) {
+      node.stateBadSince = Mono.NEVER;
+    } else if (node.stateOk || node.stateBadSince == Mono.NEVER) {
+      node.stateBadSince = now;
+    }
+    node.stateOk = b.stateOk();
+
+    List<Lease> leases = new ArrayList<>();
+    for (Map.Entry<PartId, Part> e : parts.entrySet()) {
+      Part p = e.getValue();
+      if (!b.from().equals(p.owner) || p.vacant) {
+        continue;
+      }
+      if (!b.writer().equals(p.writer)) {
+        // One label, one process: the one that held the lease has ended.
+        ports.info("part %s: owner %s restarted", e.getKey(), p.owner);
+        p.vacant = true;
+        continue;
+      }
+      PartBeat pb = null;
+      for (PartBeat x : b.parts()) {
+        if (x.part().equals(e.getKey())) {
+          pb = x;
+        }
+      }
+      if (node.stateBadSince != Mono.NEVER
+          && now.since(node.stateBadSince) > 2000
+          && anyOtherOk(b.from())) {
+        p.revoking = true;
+      }
+      if (p.revoking && pb == null) {
+        p.vacant = true;
+        continue;
+      }
+      if (p.revoking) {
+        continue;
+      }
+      if (pb != null) {
+        takeFence(e.getKey(), p, pb);
+        p.queued = pb.queued();
+      }
+      p.leaseUntil = now.plus(leaseBound());
+      leases.add(new Lease(e.getKey(), p.epoch, ports.tuning.leaseMs()));
+    }
+    for (PartBeat pb : b.parts()) {
+      Part p = parts.get(pb.part());
+      if (p != null && b.writer().equals(p.writer) && pb.epoch().equals(p.epoch)) {
+        take(pb, b.lendVersion());
+      } else if (pb.fenced().value() > 0) {
+        ports.info(
+            "part %s: refused epoch %s reported by %s, not its owner: moves nothing",
+            pb.part(), pb.fenced(), b.from());
+      }
+    }
+    for (HostInfo h : b.seen()) {
+      meet(h, "seen by " + b.from());
+    }
+    return answer(b, leases);
+  }
+
+  private boolean anyOtherOk(NodeLabel not) {
+    if (!not.equals(ports.config.label()) && ports.stateOk()) {
+      return true;
+    }
+    for (Map.Entry<NodeLabel, Node> e : nodes.entrySet()) {
+      Node n = e.getValue();
+      if (!e.getKey().equals(not) && n.stateOk && ports.now().since(n.heard) < 3000) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void takeFence(PartId id, Part p, PartBeat pb) {
+    Epoch f = pb.fenced();
+    // Only the owner's own report, at its own epoch, moves the counter; and never by a jump that
+    // would walk it to its end.
+    if (f.value() >= p.epoch.value()
+        && pb.epoch().equals(p.epoch)
+        && f.value() < Long.MAX_VALUE / 2
+        && !p.minting) {
+      ports.info("part %s: owner at epoch %s was refused by epoch %s", id, p.epoch, f);
+      mint(id, p, p.owner, p.writer, f.value());
+    }
+  }
+
+  private BeatAnswer answer(Beat b, List<Lease> leases) {
+    Mono now = ports.now();
+    List<OwnerInfo> owners = new ArrayList<>();
+    parts.forEach(
+        (id, p) -> {
+          if (!p.vacant && !p.revoking) {
+            owners.add(new OwnerInfo(id, p.owner, p.epoch));
+          }
+        });
+    List<Lent> lent = null;
+    if (b.lendVersion() != lendVersion) {
+      lent = new ArrayList<>();
+      for (Host h : hosts.values()) {
+        lent.add(new Lent(h.info, h.part, now.since(h.since), h.recall));
+      }
+    }
+    List<HostName> gone = new ArrayList<>();
+    released.forEach(
+        (h, at) -> {
+          if (now.since(at) < 60_000) {
+            gone.add(h);
+          }
+        });
+    List<Blocked> blocked = new ArrayList<>();
+    blockedUntil.forEach(
+        (o, until) -> {
+          if (now.before(until)) {
+            blocked.add(new Blocked(o, until.since(now)));
+          }
+        });
+    return new BeatAnswer(
+        election.term().value(),
+        anyOtherOk(b.from()),
+        leases,
+        owners,
+        lendVersion,
+        lent,
+        gone,
+        blocked);
+  }
+
+  private void assignParts() {
+    Mono now = ports.now();
+    for (Map.Entry<PartId, Part> e : parts.entrySet()) {
+      Part p = e.getValue();
+      boolean lapsed = !p.vacant && p.leaseUntil.before(now);
+      if ((!p.vacant && !lapsed) || p.minting || minting) {
+        continue;
+      }
+      NodeLabel best = null;
+      int bestLoad = Integer.MAX_VALUE;
+      for (Map.Entry<NodeLabel, Node> n : nodes.entrySet()) {
+        Node x = n.getValue();
+        if (!x.stateOk || now.since(x.heard) > ports.tuning.renewMs() * 2L + 500) {
+          continue;
+        }
+        int load = n.getKey().equals(ports.config.label()) ? 1 : 0;
+        for (Part q : parts.values()) {
+          if (q != p && !q.vacant && n.getKey().equals(q.owner)) {
+            load += 2;
+          }
+        }
+        if (load < bestLoad) {
+          bestLoad = load;
+          best = n.getKey();
+        }
+      }
+      // Right after an election the other controllers get a moment to be heard.
+      if (best != null && (nodes.size() > 1 || now.since(listedFirst()) > 0)) {
+        if (lapsed) {
+          ports.info("part %s: lease of %s lapsed", e.getKey(), p.owner);
+        }
+        mint(e.getKey(), p, best, nodes.get(best).writer, 0);
+      }
+    }
+  }
+
+  private Mono officeSince = Mono.NEVER;
+  private Stamp officeTerm = Stamp.ABSENT;
+
+  private Mono listedFirst() {
+    if (!officeTerm.equals(loadedTerm)) {
+      officeTerm = loadedTerm;
+      officeSince = ports.now();
+    }
+    return officeSince.plus(1500);
+  }
+
+  private void mint(PartId id, Part p, NodeLabel owner, WriterId writer, long above) {
+    if (minting) {
+      return;
+    }
+    minting = true;
+    p.minting = true;
+    long next = Math.max(epochCounter, above) + 1;
+    Stamp term = loadedTerm;
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        new StoreMessages.Txn()
+            .guard(Election.KEY, term)
+            .guard(EPOCH, epochStamp)
+            .write(EPOCH, Json.object().put("v", next))
+            .write(
+                PART + id,
+                Json.object()
+                    .put("part", id.value())
+                    .put("label", owner.value())
+                    .put("writer", writer.value())
+                    .put("epoch", next))
+            .body(),
+        CALL_MS,
+        (status, body) -> {
+          minting = false;
+          p.minting = false;
+          if (!loadedTerm.equals(term)) {
+            return;
+          }
+          if (status != 200) {
+            // Also without an answer: what the counter holds now is only known after a new look,
+            // and a later mint behind the same guard is what settles it.
+            loadedTerm = Stamp.ABSENT;
+            loadRetryAt = ports.now().plus(200);
+            return;
+          }
+          epochStamp = new Stamp(StoreMessages.revision(body));
+          epochCounter = next;
+          p.owner = owner;
+          p.writer = writer;
+          p.epoch = new Epoch(next);
+          p.vacant = false;
+          p.revoking = false;
+          p.leaseUntil = ports.now().plus(leaseBound());
+          ports.info("part %s: epoch %d minted for %s (%s)", id, next, owner, writer);
+          ports.count("epoch.minted");
+          if (!owner.equals(ports.config.label())) {
+            ports.peer(owner, PeerMessages.NUDGE, Json.object(), 1000, (s, b) -> {});
+          }
+        });
+  }
+
+  // ---- machines ------------------------------------------------------------------------------
+
+  private void meet(HostInfo h, String how) {
+    if (hosts.containsKey(h.name()) || releasing.contains(h.name())) {
+      return;
+    }
+    if (released.containsKey(h.name())) {
+      // It reports although its release was answered: a held report, or a list that lags.
+      return;
+    }
+    ports.info("machine %s: %s", h.name(), how);
+    lend(h, neediest());
+  }
+
+  private PartId neediest() {
+    PartId best = new PartId(0);
+    long most = Long.MIN_VALUE;
+    for (Map.Entry<PartId, Part> e : parts.entrySet()) {
+      long have = 0;
+      for (Host h : hosts.values()) {
+        if (h.part.equals(e.getKey())) {
+          have++;
+        }
+      }
+      long need = (e.getValue().queued ? 1000 : 0) - have;
+      if (need > most) {
+        most = need;
+        best = e.getKey();
+      }
+    }
+    return best;
+  }
+
+  private void lend(HostInfo info, PartId part) {
+    Host h = new Host();
+    h.info = info;
+    h.part = part;
+    Part p = parts.get(part);
+    h.term = p == null ? Epoch.NONE : p.epoch;
+    h.since = ports.now();
+    hosts.put(info.name(), h);
+    unsaved.add(h);
+    lendVersion++;
+    ports.info("machine %s: lent to part %s under epoch %s", info.name(), part, h.term);
+    ports.count("machine.lent");
+  }
+
+  private void saveHosts() {
+    if (saving || unsaved.isEmpty()) {
+      return;
+    }
+    int n = Math.min(unsaved.size(), ports.config.state().txnOps());
+    if (!ports.writes.tryTake(n, ports.now())) {
+      return;
+    }
+    saving = true;
+    List<Host> batch = new ArrayList<>(unsaved.subList(0, n));
+    unsaved.subList(0, n).clear();
+    StoreMessages.Txn t = new StoreMessages.Txn().guard(Election.KEY, loadedTerm);
+    for (Host h : batch) {
+      String key = HOST + h.info.name();
+      if (hosts.get(h.info.name()) == h) {
+        t.write(
+            key,
+            Json.object()
+                .put("type", h.info.type())
+                .put("zone", h.info.zone())
+                .put("spot", h.info.spot())
+                .put("part", h.part.value())
+                .put("term", h.term.value()));
+      } else if (!hosts.containsKey(h.info.name())) {
+        t.drop(key);
+      }
+    }
+    Stamp term = loadedTerm;
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        t.body(),
+        CALL_MS,
+        (status, body) -> {
+          saving = false;
+          if (loadedTerm.equals(term) && status != 200) {
+            unsaved.addAll(0, batch);
+          }
+        });
+  }
+
+  /** What an owner asks for its part. */
+  private void take(PartBeat pb, long knownVersion) {
+    for (HostName h : pb.retire()) {
+      Host x = hosts.get(h);
+      // A machine no longer known may have been released by a leader that could not say so.
+      boolean theirs = x == null ? !released.containsKey(h) : x.part.equals(pb.part());
+      if (theirs && !releasing.contains(h)) {
+        toRelease.add(h);
+      }
+    }
+    for (HostName h : pb.handedBack()) {
+      Host x = hosts.get(h);
+      if (x != null && x.recall && x.part.equals(pb.part())) {
+        handOver(x, pb.part());
+      }
+    }
+    if (!pb.spare().isEmpty()) {
+      for (Map.Entry<PartId, Part> e : parts.entrySet()) {
+        if (e.getValue().queued && !e.getKey().equals(pb.part())) {
+          Host x = hosts.get(pb.spare().get(0));
+          if (x != null && x.part.equals(pb.part()) && !x.recall) {
+            x.recall = true;
+            lendVersion++;
+          }
+          break;
+        }
+      }
+    }
+    // An owner that has not yet seen the last lending would ask for the same machines again.
+    if (knownVersion == lendVersion && claims.isEmpty() && !claiming) {
+      for (Want w : pb.wants()) {
+        Mono until = blockedUntil.get(w.offer());
+        if (w.count() > 0 && (until == null || until.before(ports.now()))) {
+          claims.add(
+              new Claim(
+                  "sc-" + loadedTerm + "-" + ++claimCount,
+                  w.offer(),
+                  Math.min(w.count(), CloudMessages.MAX_RENT),
+                  pb.part()));
+        }
+      }
+    }
+  }
+
+  /** Empty of the last part's tasks, and lent on only above its term. */
+  private void handOver(Host x, PartId from) {
+    PartId to = neediest();
+    if (to.equals(from)) {
+      x.recall = false;
+      lendVersion++;
+      return;
+    }
+    Part p = parts.get(to);
+    Part last = parts.get(from);
+    long term = Math.max(x.term.value(), last == null ? 0 : last.epoch.value());
+    if (p.epoch.value() <= term) {
+      if (!p.vacant && !minting) {
+        mint(to, p, p.owner, p.writer, term);
+      }
+      return;
+    }
+    hosts.remove(x.info.name());
+    lend(x.info, to);
+  }
+
+  // ---- the cloud -----------------------------------------------------------------------------
+
+  private void cloudWork() {
+    Mono now = ports.now();
+    if (now.before(cloudRetryAt)) {
+      return;
+    }
+    if (!toRelease.isEmpty() && !releasingNow && cloudCalls.tryTake(1, now)) {
+      release();
+    }
+    if (!claims.isEmpty() && !claiming && cloudCalls.tryTake(1, now)) {
+      claim();
+    }
+    if (!listing && !now.before(listAt) && cloudCalls.tryTake(1, now)) {
+      listing = true;
+      list("", now, new HashMap<>());
+    }
+  }
+
+  private void release() {
+    releasingNow = true;
+    List<HostName> batch = new ArrayList<>();
+    for (HostName h : toRelease) {
+      if (batch.size() < CloudMessages.MAX_RELEASE) {
+        batch.add(h);
+      }
+    }
+    batch.forEach(toRelease::remove);
+    releasing.addAll(batch);
+    Stamp term = loadedTerm;
+    ports.cloud(
+        "POST",
+        CloudMessages.RELEASE,
+        CloudMessages.release(batch),
+        CLOUD_MS,
+        (status, body) -> {
+          if (!loadedTerm.equals(term)) {
+            return;
+          }
+          releasingNow = false;
+          batch.forEach(releasing::remove);
+          if (status == 200) {
+            for (HostName h : batch) {
+              released.put(h, ports.now());
+              Host x = hosts.remove(h);
+              if (x != null) {
+                unsaved.add(x);
+              }
+              ports.info("machine %s: released", h);
+            }
+            lendVersion++;
+            ports.count("machine.released");
+          } else {
+            toRelease.addAll(batch);
+            cloudRetryAt = ports.now().plus(1000);
+          }
+        });
+  }
+
+  private void claim() {
+    Claim c = claims.peek();
+    claiming = true;
+    Stamp term = loadedTerm;
+    ports.cloud(
+        "POST",
+        CloudMessages.RENT,
+        CloudMessages.rent(c.name(), c.offer(), c.count()),
+        CLOUD_MS,
+        (status, body) -> {
+          if (!loadedTerm.equals(term)) {
+            return;
+          }
+          claiming = false;
+          Mono now = ports.now();
+          if (status == 200) {
+            claims.poll();
+            List<HostName> got = CloudMessages.rented(body);
+            for (HostName h : got) {
+              if (!hosts.containsKey(h)) {
+                lend(
+                    new HostInfo(h, c.offer().type(), c.offer().zone(), c.offer().spot()),
+                    c.part());
+              }
+            }
+            ports.info("claim %s: %d of %d %s", c.name(), got.size(), c.count(), c.offer());
+            if (got.size() < c.count()) {
+              block(c.offer());
+            } else {
+              refusals.remove(c.offer());
+            }
+          } else if (status == 503 && "no capacity".equals(Json.text(body.path("error")))) {
+            claims.poll();
+            block(c.offer());
+          } else if (status == 400) {
+            claims.poll();
+            ports.error("claim %s: refused as malformed: %s", c.name(), c.offer());
+            block(c.offer());
+          } else {
+            // It may have been carried out: the same name again, and never another for it.
+            cloudRetryAt = now.plus(1000);
+          }
+        });
+  }
+
+  private void block(Offer o) {
+    int n = refusals.merge(o, 1, Integer::sum);
+    long ms = Math.min(40_000, 8_000L << Math.min(n - 1, 3));
+    blockedUntil.put(o, ports.now().plus(ms));
+    ports.info("no capacity for %s, again in %d ms", o, ms);
+  }
+
+  private void list(String after, Mono began, Map<HostName, Listed> found) {
+    Stamp term = loadedTerm;
+    ports.cloud(
+        "GET",
+        CloudMessages.list(after),
+        null,
+        CLOUD_MS,
+        (status, body) -> {
+          if (!loadedTerm.equals(term)) {
+            return;
+          }
+          if (status != 200) {
+            listing = false;
+            listAt = ports.now().plus(2000);
+            return;
+          }
+          List<Listed> page = CloudMessages.listed(body);
+          page.forEach(l -> found.put(l.name(), l));
+          if (CloudMessages.more(body) && !page.isEmpty()) {
+            list(page.get(page.size() - 1).name().value(), began, found);
+            return;
+          }
+          listing = false;
+          listAt = ports.now().plus(hosts.isEmpty() ? 1000 : 5000);
+          listed(found.values());
+        });
+  }
+
+  private void listed(Collection<Listed> found) {
+    Mono now = ports.now();
+    long lag = (long) (ports.config.cloud().listLagS() * 2000) + 2000;
+    for (Listed l : found) {
+      Mono at = released.get(l.name());
+      if (at != null) {
+        if (now.since(at) > lag + 10_000) {
+          // The release was answered, so this can only be a machine that came back under a held
+          // request; return it.
+          released.remove(l.name());
+          toRelease.add(l.name());
+        }
+        continue;
+      }
+      HostType type = catalog.get(l.type());
+      double boot = type == null ? 60 : type.bootS();
+      if (l.state().equals("failed")
+          || (l.state().equals("starting") && l.ageS() > 4 * boot + 60)) {
+        if (!releasing.contains(l.name()) && toRelease.add(l.name())) {
+          ports.info("machine %s: %s for %.0f s, returned", l.name(), l.state(), l.ageS());
+        }
+        continue;
+      }
+      meet(new HostInfo(l.name(), l.type(), l.zone(), l.spot()), "listed as " + l.state());
+      Host h = hosts.get(l.name());
+      if (h != null) {
+        h.listedAt = now;
+      }
+    }
+    // Once listed, a machine stays listed until it is gone; lists lag and go backwards, so this
+    // alone proves nothing. Its release, answered 200, does.
+    for (Host h : hosts.values()) {
+      if (h.listedAt != Mono.NEVER
+          && now.since(h.listedAt) > lag
+          && !releasing.contains(h.info.name())
+          && toRelease.add(h.info.name())) {
+        ports.info("machine %s: no longer listed", h.info.name());
+      }
+    }
+    released.values().removeIf(at -> now.since(at) > 600_000);
+    ports.gauge("machines", hosts.size());
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Output.java
@@ -0,0 +1,32 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** What the core wants done. */
+public sealed interface Output {
+  record Reply(long reply, int status, JsonNode body, int retryAfterS) implements Output {}
+
+  record Call(long call, Target target, String method, String path, JsonNode body, int timeoutMs)
+      implements Output {}
+
+  record Log(Level level, String text) implements Output {}
+
+  record Count(String metric, long by) implements Output {}
+
+  record Gauge(String metric, double value) implements Output {}
+
+  enum Level {
+    ERROR,
+    INFO,
+    DEBUG
+  }
+
+  sealed interface Target {}
+
+  enum Service implements Target {
+    STATE,
+    CLOUD
+  }
+
+  record Peer(shorecrank.protocol.Ids.NodeLabel label) implements Target {}
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -0,0 +1,155 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import shorecrank.bookkeeping.Budget;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.Tuning;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.WriterId;
+
+/** One step's view of the world for the parts of the core: time in, effects out. */
+final class Ports {
+  /** What to do with an answer; status 0 means there was none and the call may still act later. */
+  @FunctionalInterface
+  interface OnAnswer {
+    void answer(int status, JsonNode body);
+  }
+
+  private record Pending(OnAnswer then, Output.Target target, Mono sent) {}
+
+  final NodeConfig config;
+  final Tuning tuning;
+  final WriterId writer;
+  final Budget requests;
+  final Budget writes;
+
+  private final Long2ObjectOpenHashMap<Pending> calls = new Long2ObjectOpenHashMap<>();
+  private long nextCall = 1;
+  private long lives;
+  private List<Output> out = new ArrayList<>();
+  private Mono now = new Mono(0);
+  private long wallMs;
+  private SplittableRandom random = new SplittableRandom(0);
+  private Mono stateOkAt = Mono.NEVER;
+
+  Ports(NodeConfig config, Tuning tuning, WriterId writer) {
+    this.config = config;
+    this.tuning = tuning;
+    this.writer = writer;
+    this.requests = new Budget(config.state().rps());
+    this.writes = new Budget(config.state().writeRps());
+    ownedShare(0);
+  }
+
+  /** Bounds hold per process, with room for the others' share of the state service. */
+  void ownedShare(double owned) {
+    int n = Math.max(1, config.members().size() + 1);
+    requests.rate(config.state().rps() * (0.55 / n + 0.4 * owned));
+    writes.rate(config.state().writeRps() * (0.35 / n + 0.6 * owned));
+  }
+
+  void begin(Mono now, long wallMs, long entropy) {
+    this.now = now;
+    this.wallMs = wallMs;
+    this.random = new SplittableRandom(entropy);
+  }
+
+  List<Output> end() {
+    List<Output> done = out;
+    out = new ArrayList<>();
+    return done;
+  }
+
+  /** Numbers objects that write records, so that their writes can be told apart. */
+  long nextLife() {
+    return ++lives;
+  }
+
+  Mono now() {
+    return now;
+  }
+
+  long wallMs() {
+    return wallMs;
+  }
+
+  SplittableRandom random() {
+    return random;
+  }
+
+  void state(String method, String path, JsonNode body, int timeoutMs, OnAnswer then) {
+    requests.take(1, now);
+    call(Output.Service.STATE, method, path, body, timeoutMs, then);
+  }
+
+  void cloud(String method, String path, JsonNode body, int timeoutMs, OnAnswer then) {
+    call(Output.Service.CLOUD, method, path, body, timeoutMs, then);
+  }
+
+  void peer(NodeLabel to, String path, JsonNode body, int timeoutMs, OnAnswer then) {
+    call(new Output.Peer(to), "POST", path, body, timeoutMs, then);
+  }
+
+  private void call(
+      Output.Target t, String method, String path, JsonNode body, int timeoutMs, OnAnswer then) {
+    long id = nextCall++;
+    calls.put(id, new Pending(then, t, now));
+    out.add(new Output.Call(id, t, method, path, body, timeoutMs));
+  }
+
+  void answered(Input.Answer a) {
+    Pending p = calls.remove(a.call());
+    if (p == null) {
+      return;
+    }
+    if (p.target == Output.Service.STATE) {
+      if (a.status() != 0 && a.status() < 500) {
+        stateOkAt = now;
+        if (a.status() == 429) {
+          requests.drain();
+          writes.drain();
+          count("state.throttled");
+        }
+      }
+    }
+    p.then.answer(a.status(), a.body());
+  }
+
+  /** The state service answered lately. */
+  boolean stateOk() {
+    return now.since(stateOkAt) < tuning.stateFreshMs();
+  }
+
+  Mono stateOkAt() {
+    return stateOkAt;
+  }
+
+  void reply(long reply, int status, JsonNode body) {
+    out.add(new Output.Reply(reply, status, body, 0));
+  }
+
+  void replyLater(long reply, int status, JsonNode body, int retryAfterS) {
+    out.add(new Output.Reply(reply, status, body, retryAfterS));
+  }
+
+  void info(String format, Object... args) {
+    out.add(new Output.Log(Output.Level.INFO, String.format(format, args)));
+  }
+
+  void error(String format, Object... args) {
+    out.add(new Output.Log(Output.Level.ERROR, String.format(format, args)));
+  }
+
+  void count(String metric) {
+    out.add(new Output.Count(metric, 1));
+  }
+
+  void gauge(String metric, double v) {
+    out.add(new Output.Gauge(metric, v));
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -0,0 +1,179 @@
+package shorecrank.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.PeerMessages.Blocked;
+import shorecrank.protocol.PeerMessages.Want;
+
+/** Which machines a part asks the leader to rent and to return. */
+final class Renting {
+  private final Ports ports;
+  private final Steward steward;
+  private final Map<Offer, Mono> blocked = new HashMap<>();
+
+  Renting(Ports ports, Steward steward) {
+    this.ports = ports;
+    this.steward = steward;
+  }
+
+  void blocked(List<Blocked> l) {
+    blocked.clear();
+    l.forEach(b -> blocked.put(b.offer(), ports.now().plus(b.forMs())));
+  }
+
+  /** Machines to be given back: broken, silent, or idle for a while. */
+  void review(List<HostName> retire) {
+    Mono now = ports.now();
+    double report = ports.config.workers().reportS() * 1000;
+    double lease = ports.config.workers().leaseS() * 1000;
+    int silent = 0;
+    for (Host h : steward.hosts.values()) {
+      if (h.lent && h.reported() && !steward.fresh(h)) {
+        silent++;
+      }
+    }
+    // Many silent at once: more likely it is we who are cut off.
+    boolean many = silent > Math.max(2, steward.hosts.size() / 3);
+    // Releasing a silent machine is the quick way to be sure of its tasks, where its lease is long.
+    double early = 3 * report + 4000;
+    double patience = lease - early > 10_000 ? early : lease + 30_000;
+    if (many) {
+      patience = lease + 60_000;
+    }
+    boolean waiting = steward.jobs.values().stream().anyMatch(j -> j.queued() > 0);
+    for (Host h : steward.hosts.values()) {
+      long quiet = steward.silentMs(h);
+      if (!h.reported()) {
+        double boot = h.type == null ? 60 : h.type.bootS();
+        boolean holds = !h.empty();
+        if (holds
+            ? quiet > Math.max(15_000, early)
+            : now.since(h.lentSince) > 1000 * (5 * boot + 120)) {
+          if (holds || h.lent) {
+            retire.add(h.name);
+          }
+        }
+        continue;
+      }
+      if (quiet > patience) {
+        retire.add(h.name);
+      } else if (h.quarantines > 1 && h.empty() && steward.fresh(h)) {
+        h.retiring = true;
+        retire.add(h.name);
+      } else if (!waiting
+          && steward.usable(h)
+          && h.empty()
+          && h.listedTasks == 0
+          && now.since(h.idleSince) > ports.tuning.idleReturnS() * 1000L) {
+        h.retiring = true;
+        retire.add(h.name);
+      } else if (h.retiring) {
+        if (h.empty() && h.listedTasks == 0) {
+          retire.add(h.name);
+        }
+      }
+    }
+  }
+
+  /** What the waiting work needs beyond what is there or on its way. */
+  List<Want> wants() {
+    List<Want> wants = new ArrayList<>();
+    if (!steward.ready() || !steward.valid()) {
+      return wants;
+    }
+    Map<String, HostType> catalog = steward.catalog();
+    double clear = ports.tuning.clearS();
+    double free = 0;
+    for (Host h : steward.hosts.values()) {
+      if (h.type == null || !h.lent || h.retiring || h.noticed) {
+        continue;
+      }
+      if (!h.reported()) {
+        free += h.type.cpus();
+      } else if (steward.usable(h)) {
+        free += h.freeCpus();
+      }
+    }
+    double need = 0;
+    List<Job> queued = new ArrayList<>();
+    Map<Job, Double> needs = new HashMap<>();
+    for (Job j : steward.jobs.values()) {
+      int n = j.queued();
+      if (n == 0 || j.backoff > 0) {
+        continue;
+      }
+      double parallel = Math.min(n, Math.ceil(n * Math.max(1, j.spec.estimateS()) / clear));
+      double cpus = parallel * size(j.spec, catalog);
+      needs.put(j, cpus);
+      queued.add(j);
+      need += cpus;
+    }
+    double deficit = need - free;
+    if (deficit <= 0) {
+      return wants;
+    }
+    List<Offer> offers = new ArrayList<>();
+    for (HostType t : catalog.values()) {
+      for (String z : t.zones()) {
+        offers.add(new Offer(t.name(), z, true));
+        offers.add(new Offer(t.name(), z, false));
+      }
+    }
+    Map<String, Integer> perZone = new HashMap<>();
+    steward.hosts.values().stream()
+        .filter(h -> h.info != null)
+        .forEach(h -> perZone.merge(h.info.zone(), 1, Integer::sum));
+    offers.sort(
+        Comparator.<Offer>comparingDouble(
+                o -> catalog.get(o.type()).price(o.spot()) / catalog.get(o.type()).cpus())
+            .thenComparing(o -> perZone.getOrDefault(o.zone(), 0))
+            .thenComparing(Offer::toString));
+    for (Offer o : offers) {
+      Mono until = blocked.get(o);
+      if (until != null && ports.now().before(until)) {
+        continue;
+      }
+      HostType t = catalog.get(o.type());
+      double eligible = 0;
+      for (Job j : queued) {
+        if (Placement.allowed(j.spec, o, t)) {
+          eligible += needs.get(j);
+        }
+      }
+      double cover = Math.min(eligible, deficit);
+      int count = (int) Math.min(10, Math.ceil(cover / t.cpus() - 0.25));
+      if (count > 0) {
+        wants.add(new Want(o, count));
+        deficit -= count * t.cpus();
+        if (deficit <= 0) {
+          break;
+        }
+      }
+    }
+    return wants;
+  }
+
+  /** A task's share of a machine in processors, where memory or accelerators may be what counts. */
+  private static double size(JobSpec s, Map<String, HostType> catalog) {
+    double best = Double.MAX_VALUE;
+    for (HostType t : catalog.values()) {
+      double share = s.cpus() / t.cpus();
+      share = Math.max(share, s.memoryGb() / Math.max(1e-9, t.memoryGb()));
+      if (s.gpus() > 0) {
+        share = Math.max(share, s.gpus() / Math.max(1e-9, t.gpus()));
+      }
+      if (share <= 1) {
+        best = Math.min(best, share * t.cpus());
+      }
+    }
+    return best == Double.MAX_VALUE ? s.cpus() : best;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -0,0 +1,1140 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import shorecrank.bookkeeping.JobRecord;
+import shorecrank.bookkeeping.JobRecord.LiveRange;
+import shorecrank.config.NodeConfig;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.coordination.Job.Urgency;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.Ids.Attempt;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.PeerMessages.HostInfo;
+import shorecrank.protocol.PeerMessages.Lent;
+import shorecrank.protocol.PeerMessages.PartBeat;
+import shorecrank.protocol.StoreMessages;
+import shorecrank.protocol.UserMessages.Phase;
+import shorecrank.protocol.WorkerMessages;
+import shorecrank.protocol.WorkerMessages.Forget;
+import shorecrank.protocol.WorkerMessages.Order;
+import shorecrank.protocol.WorkerMessages.Report;
+import shorecrank.protocol.WorkerMessages.Start;
+import shorecrank.protocol.WorkerMessages.Stop;
+import shorecrank.protocol.WorkerMessages.TaskReport;
+import shorecrank.protocol.WorkerMessages.TaskState;
+import shorecrank.protocol.WorkerMessages.Why;
+
+/** The owner of one part: its jobs, the machines lent to it, and every write to its records. */
+final class Steward {
+  private static final int CALL_MS = 2000;
+  private static final int MAX_IN_FLIGHT = 3;
+  private static final int TXN_BYTES = 56 * 1024;
+
+  private enum Stage {
+    LOADING,
+    READY
+  }
+
+  private final Ports ports;
+  final PartId part;
+  private final Epoch firstEpoch;
+  private Epoch epoch;
+  private Mono validUntil = Mono.NEVER;
+  private final Mono grantedAt;
+  private Epoch fenced = Epoch.NONE;
+  private boolean reload;
+
+  private Stage stage = Stage.LOADING;
+  private boolean loadBusy;
+  private Mono loadRetryAt = new Mono(0);
+  private long loadRound;
+  private long watchFrom;
+  private boolean watching;
+  private Mono watchRetryAt = new Mono(0);
+
+  final Map<JobId, Job> jobs = new TreeMap<>();
+  private final Set<JobId> latched = new HashSet<>();
+  final Map<HostName, Host> hosts = new TreeMap<>();
+  private final Map<String, double[]> teamUse = new HashMap<>();
+  private Map<String, HostType> catalog = Map.of();
+
+  private int inFlight;
+  private Mono writeRetryAt = Mono.NEVER;
+  private JobId cursor;
+  final Renting renting;
+  private boolean ended;
+
+  Steward(Ports ports, PartId part, Epoch epoch, Mono grantedAt) {
+    this.ports = ports;
+    this.part = part;
+    this.epoch = epoch;
+    this.firstEpoch = epoch;
+    this.grantedAt = grantedAt;
+    this.renting = new Renting(ports, this);
+    ports.info("part %s: taken over at epoch %s", part, epoch);
+    ports.count("part.takeover");
+  }
+
+  Epoch epoch() {
+    return epoch;
+  }
+
+  Map<String, HostType> catalog() {
+    return catalog;
+  }
+
+  void catalog(Map<String, HostType> c) {
+    catalog = c;
+    for (Host h : hosts.values()) {
+      if (h.info != null) {
+        h.type = c.get(h.info.type());
+      }
+    }
+  }
+
+  /** The leader's lease: no other controller owns the part before it ends, by our own clock. */
+  void lease(Epoch e, Mono until) {
+    if (e.above(epoch)) {
+      ports.info("part %s: raised from epoch %s to %s", part, epoch, e);
+      epoch = e;
+      fenced = Epoch.NONE;
+      // What was given up may be ours again under the higher epoch.
+      reload |= !latched.isEmpty();
+    }
+    if (validUntil.before(until)) {
+      validUntil = until;
+    }
+  }
+
+  boolean valid() {
+    return ports.now().before(validUntil);
+  }
+
+  boolean ready() {
+    return stage == Stage.READY;
+  }
+
+  /**
+   * After the lease a worker's own lease may still be renewed, without commands, so that running
+   * work outlives an outage of the state service. Bounded: a new owner counts on silence after it.
+   */
+  boolean inGrace(boolean alone) {
+    long over = ports.now().since(validUntil);
+    long max = ports.tuning.graceMs();
+    if (ports.stateOk()) {
+      // The store is there, so a leader will be: a gap between two terms.
+      max = Math.min(max, ports.tuning.leaderTtlMs() + 2000L);
+    } else if (alone) {
+      max = Math.min(max, ports.tuning.leaseMs() * 2L);
+    }
+    return over >= 0 && over < max;
+  }
+
+  void end(String why) {
+    ended = true;
+    ports.info("part %s: epoch %s given up: %s", part, epoch, why);
+    ports.count("part.given_up");
+  }
+
+  // ---- loading -------------------------------------------------------------------------------
+
+  void tick(Input.RoundBudget budget) {
+    if (ended) {
+      return;
+    }
+    if (reload && inFlight == 0) {
+      reload = false;
+      startOver();
+    }
+    if (stage == Stage.LOADING) {
+      if (!loadBusy && !ports.now().before(loadRetryAt)) {
+        load();
+      }
+    } else {
+      if (!watching && !ports.now().before(watchRetryAt)) {
+        watch();
+      }
+      verdicts();
+      if (valid()) {
+        place(budget);
+        flush();
+      }
+    }
+  }
+
+  private void startOver() {
+    for (Job j : new ArrayList<>(jobs.values())) {
+      forget(j);
+    }
+    latched.clear();
+    for (Host h : hosts.values()) {
+      h.known = false;
+      h.serial = -1;
+    }
+    stage = Stage.LOADING;
+    loadBusy = false;
+    loadRound++;
+  }
+
+  private String noticePrefix() {
+    return JobRecord.NOTICE + part + "/";
+  }
+
+  static String noticeKey(PartId part, JobId id) {
+    return JobRecord.NOTICE + part + "/" + id.value();
+  }
+
+  private void load() {
+    loadBusy = true;
+    watchFrom = -1;
+    loadPage("", ++loadRound);
+  }
+
+  private void loadPage(String after, long round) {
+    ports.state(
+        "GET",
+        StoreMessages.list(JobRecord.LIVE, after, 200),
+        null,
+        4000,
+        (status, body) -> {
+          if (round != loadRound || ended) {
+            return;
+          }
+          if (status != 200) {
+            loadBusy = false;
+            loadRetryAt = ports.now().plus(200 + ports.random().nextInt(300));
+            startOver();
+            return;
+          }
+          if (watchFrom < 0) {
+            watchFrom = StoreMessages.revision(body);
+          }
+          String last = "";
+          for (StoreMessages.Entry e : StoreMessages.entries(body)) {
+            last = e.key();
+            JobRecord r = JobRecord.read(e.value());
+            if (r == null) {
+              ports.error("record %s makes no sense, left alone", e.key());
+            } else if (PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
+              add(r, e.stamp());
+            }
+          }
+          if (StoreMessages.more(body) && !last.isEmpty()) {
+            loadPage(last, round);
+            return;
+          }
+          loadBusy = false;
+          stage = Stage.READY;
+          ports.info(
+              "part %s: %d jobs rebuilt at epoch %s, revision %d",
+              part, jobs.size(), epoch, watchFrom);
+        });
+  }
+
+  private Job add(JobRecord r, Stamp stamp) {
+    Job j = new Job(r, stamp, ports.nextLife());
+    jobs.put(j.id(), j);
+    j.claimed = false;
+    if (r.epoch().value() > 0) {
+      if (r.epoch().above(epoch) || (r.epoch().equals(epoch) && !r.writer().equals(ports.writer))) {
+        latch(j, r);
+        return j;
+      }
+      // The fence goes up before anything is made of the record.
+      j.touch(Urgency.NOW, ports.now());
+    } else {
+      j.noticed = true;
+    }
+    adoptLive(j, r);
+    if (j.aborted) {
+      j.touch(Urgency.NOW, ports.now());
+    }
+    return j;
+  }
+
+  private void adoptLive(Job j, JobRecord r) {
+    for (LiveRange l : r.live()) {
+      Host h = host(l.host());
+      for (int i = l.first(); i < l.first() + l.count(); i++) {
+        if (!j.done.get(i) && !j.live.containsKey(i)) {
+          attach(new LiveTask(j, i, h, l.tenure(), l.attempt(), 0, ports.now()));
+        }
+      }
+    }
+  }
+
+  private Host host(HostName name) {
+    return hosts.computeIfAbsent(name, Host::new);
+  }
+
+  private void attach(LiveTask t) {
+    t.job.add(t);
+    double[] u = teamUse.computeIfAbsent(t.job.spec.team(), k -> new double[2]);
+    u[0] += t.job.spec.cpus();
+    u[1] += t.job.spec.gpus();
+  }
+
+  private void detach(LiveTask t) {
+    if (t.job.live.get(t.index) != t) {
+      return;
+    }
+    t.job.remove(t);
+    double[] u = teamUse.get(t.job.spec.team());
+    u[0] -= t.job.spec.cpus();
+    u[1] -= t.job.spec.gpus();
+  }
+
+  private void forget(Job j) {
+    for (LiveTask t : new ArrayList<>(j.live.values())) {
+      detach(t);
+    }
+    jobs.remove(j.id());
+  }
+
+  private void watch() {
+    watching = true;
+    long round = loadRound;
+    int holdMs = 20_000;
+    ports.state(
+        "GET",
+        StoreMessages.watch(noticePrefix(), watchFrom, holdMs),
+        null,
+        holdMs + 3000,
+        (status, body) -> {
+          watching = false;
+          if (ended || round != loadRound) {
+            return;
+          }
+          if (status == 410) {
+            startOver();
+            return;
+          }
+          if (status != 200) {
+            watchRetryAt = ports.now().plus(200 + ports.random().nextInt(200));
+            return;
+          }
+          for (StoreMessages.Change c : StoreMessages.changes(body)) {
+            if (c.value() != null) {
+              notice(new JobId(c.key().substring(noticePrefix().length())), c);
+            }
+          }
+          watchFrom = Math.max(watchFrom, StoreMessages.revision(body));
+        });
+  }
+
+  private void notice(JobId id, StoreMessages.Change c) {
+    if (latched.contains(id)) {
+      return;
+    }
+    Job j = jobs.get(id);
+    if (c.value().path("x").asBoolean()) {
+      if (j != null && !j.aborted) {
+        reread(j);
+      }
+      return;
+    }
+    JobRecord r = JobRecord.read(c.value());
+    // Written together with the record, so the record has the same stamp.
+    if (j == null && r != null && r.spec().id().equals(id)) {
+      add(r, c.stamp());
+    }
+  }
+
+  // ---- records -------------------------------------------------------------------------------
+
+  private record Write(Job job, long seq, boolean last) {}
+
+  private void flush() {
+    Mono now = ports.now();
+    if (now.before(writeRetryAt) || inFlight >= MAX_IN_FLIGHT) {
+      return;
+    }
+    List<Job> due = new ArrayList<>();
+    for (Job j : jobs.values()) {
+      if (j.inFlight || j.rereading || now.before(j.writeAfter)) {
+        continue;
+      }
+      boolean last = over(j);
+      if (j.dirty == Urgency.NOW
+          || last
+          || (j.dirty == Urgency.LATER && now.since(j.dirtySince) >= ports.tuning.mergeMs())) {
+        due.add(j);
+      }
+    }
+    if (due.isEmpty()) {
+      return;
+    }
+    due.sort(Comparator.comparingInt(this::rank).thenComparing(j -> j.dirtySince));
+    int at = 0;
+    while (at < due.size() && inFlight < MAX_IN_FLIGHT) {
+      StoreMessages.Txn txn = new StoreMessages.Txn();
+      List<Write> batch = new ArrayList<>();
+      int bytes = 0;
+      while (at < due.size()) {
+        Job j = due.get(at);
+        int ops = ops(j);
+        if (txn.ops() + ops > ports.config.state().txnOps()
+            || (bytes > 0 && bytes + ports.config.state().valueKb() * 1024 > TXN_BYTES)
+            || !ports.writes.has(txn.ops() + ops, now)) {
+          break;
+        }
+        bytes += put(txn, batch, j);
+        at++;
+      }
+      if (batch.isEmpty()) {
+        return;
+      }
+      ports.writes.take(txn.ops(), now);
+      commit(txn, batch);
+    }
+  }
+
+  /** Final states and placements go first, then claims, then completions that waited. */
+  private int rank(Job j) {
+    if (over(j)) {
+      return 0;
+    }
+    if (j.dirty == Urgency.NOW) {
+      return j.claimed || !j.live.isEmpty() ? 1 : 2;
+    }
+    return 3;
+  }
+
+  private static boolean over(Job j) {
+    return (j.claimed || j.epoch.value() == 0)
+        && (j.complete() || j.aborted)
+        && j.live.isEmpty()
+        && !j.hasGhosts();
+  }
+
+  private int ops(Job j) {
+    return (over(j) ? 2 : 1) + (j.noticed ? 1 : 0);
+  }
+
+  private int put(StoreMessages.Txn txn, List<Write> batch, Job j) {
+    String key = JobRecord.liveKey(j.id());
+    txn.guard(key, j.stamp);
+    j.inFlight = true;
+    j.seq++;
+    boolean last = over(j);
+    int bytes;
+    if (last) {
+      Phase phase = j.complete() && !j.aborted ? Phase.DONE : Phase.WITHDRAWN;
+      ObjectNode f = JobRecord.writeFinal(phase, j.doneCount());
+      txn.drop(key).write(JobRecord.finalKey(j.id()), f);
+      bytes = 200;
+    } else {
+      ObjectNode value = j.record(epoch, ports.writer).write();
+      bytes = Json.bytes(value).length;
+      double max = ports.config.state().valueKb() * 1024;
+      if (bytes > max * 0.95) {
+        // What was not yet written is taken back: no command has been given for it.
+        for (LiveTask t : new ArrayList<>(j.live.values())) {
+          if (!t.committed() && t.seq >= j.seq) {
+            detach(t);
+          }
+        }
+        value = j.record(epoch, ports.writer).write();
+        bytes = Json.bytes(value).length;
+      }
+      j.recordFull = bytes > max * 0.7;
+      txn.write(key, value);
+    }
+    if (j.noticed) {
+      txn.drop(noticeKey(part, j.id()));
+    }
+    batch.add(new Write(j, j.seq, last));
+    j.dirty = Urgency.NONE;
+    return bytes + 300;
+  }
+
+  private void commit(StoreMessages.Txn txn, List<Write> batch) {
+    inFlight++;
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        txn.body(),
+        CALL_MS,
+        (status, body) -> {
+          inFlight--;
+          if (ended) {
+            return;
+          }
+          Mono now = ports.now();
+          Set<String> failed = status == 409 ? StoreMessages.failed(body) : Set.of();
+          for (Write w : batch) {
+            Job j = w.job;
+            j.inFlight = false;
+            if (jobs.get(j.id()) != j) {
+              continue;
+            }
+            if (status == 200) {
+              committed(w, new Stamp(StoreMessages.revision(body)));
+            } else if (failed.contains(JobRecord.liveKey(j.id()))) {
+              j.touch(Urgency.NOW, now);
+              reread(j);
+            } else {
+              // Not applied for another's sake, refused for the load, or not known: the next write
+              // behind the same guard settles it.
+              j.touch(Urgency.NOW, now);
+            }
+          }
+          if (status == 400) {
+            ports.error("transaction refused as malformed: %s", body);
+            batch.forEach(w -> w.job.writeAfter = now.plus(5000));
+          } else if (status != 200 && status != 409) {
+            ports.count("txn.unanswered");
+            writeRetryAt = now.plus(80 + ports.random().nextInt(200));
+          }
+        });
+  }
+
+  private void committed(Write w, Stamp stamp) {
+    Job j = w.job;
+    j.stamp = stamp;
+    j.committedSeq = w.seq;
+    j.epoch = epoch;
+    j.writer = ports.writer;
+    j.claimed = true;
+    j.noticed = false;
+    if (w.last) {
+      forget(j);
+      ports.info("job %s %s at epoch %s", j.id(), j.aborted ? "withdrawn" : "done", epoch);
+      ports.count(j.aborted ? "job.withdrawn" : "job.done");
+      return;
+    }
+    j.exits.values().removeIf(seq -> seq <= j.committedSeq);
+  }
+
+  /** A refused write: what the record says now decides whether the job is still ours. */
+  private void reread(Job j) {
+    if (j.rereading) {
+      return;
+    }
+    j.rereading = true;
+    ports.state(
+        "GET",
+        StoreMessages.key(JobRecord.liveKey(j.id())),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (ended || jobs.get(j.id()) != j) {
+            return;
+          }
+          if (status == 200) {
+            j.rereading = false;
+            StoreMessages.Entry e = StoreMessages.entry(body);
+            JobRecord r = JobRecord.read(e.value());
+            if (r == null) {
+              latch(j, null);
+            } else {
+              reconcile(j, r, e.stamp());
+            }
+          } else if (status == 404) {
+            j.rereading = false;
+            gone(j);
+          } else {
+            j.rereading = false;
+            j.writeAfter = ports.now().plus(200 + ports.random().nextInt(200));
+            j.touch(Urgency.NOW, ports.now());
+          }
+        });
+  }
+
+  private void gone(Job j) {
+    // Either a write of ours without an answer was applied after all, or another finished it.
+    if (!over(j)) {
+      latch(j, null);
+      return;
+    }
+    j.rereading = true;
+    ports.state(
+        "GET",
+        StoreMessages.key(JobRecord.finalKey(j.id())),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          j.rereading = false;
+          if (ended || jobs.get(j.id()) != j) {
+            return;
+          }
+          if (status == 200) {
+            forget(j);
+            ports.info("job %s: over, as an earlier write of ours has it", j.id());
+          } else if (status == 404) {
+            latch(j, null);
+          } else {
+            j.writeAfter = ports.now().plus(300);
+            j.touch(Urgency.NOW, ports.now());
+          }
+        });
+  }
+
+  private void reconcile(Job j, JobRecord r, Stamp stamp) {
+    if (r.epoch().above(epoch)) {
+      latch(j, r);
+      return;
+    }
+    boolean ours = j.wrote(r, ports.writer);
+    if (r.epoch().equals(epoch) && !r.writer().equals(ports.writer)) {
+      latch(j, r);
+      return;
+    }
+    if (ours) {
+      // One of our own writes, by its number; memory already holds all of it. Somebody may have
+      // asked to cancel on top of it.
+      j.stamp = stamp;
+      j.claimed = r.epoch().value() > 0;
+      j.noticed |= r.aborted();
+      j.committedSeq = Math.max(j.committedSeq, r.seq());
+      j.exits.values().removeIf(seq -> seq <= j.committedSeq);
+      if (r.aborted() && !j.aborted) {
+        abort(j);
+      }
+      j.touch(Urgency.NOW, ports.now());
+      return;
+    }
+    if (r.epoch().value() == 0 && j.epoch.value() == 0) {
+      // Nobody has claimed it: only a request to cancel changes such a record.
+      j.stamp = stamp;
+      j.noticed = true;
+      if (r.aborted() && !j.aborted) {
+        abort(j);
+      }
+      j.touch(Urgency.NOW, ports.now());
+      return;
+    }
+    // A late write of an earlier owner came in before our claim: its record is what counts.
+    ports.info(
+        "job %s: record of epoch %s found below ours %s, taken in", j.id(), r.epoch(), epoch);
+    for (LiveTask t : new ArrayList<>(j.live.values())) {
+      detach(t);
+    }
+    j.claimed = false;
+    j.adoptHead(r, stamp);
+    adoptLive(j, r);
+    j.touch(Urgency.NOW, ports.now());
+  }
+
+  private void abort(Job j) {
+    j.aborted = true;
+    for (LiveTask t : new ArrayList<>(j.live.values())) {
+      if (!t.committed()) {
+        detach(t);
+      }
+    }
+    ports.info("job %s: cancelled", j.id());
+  }
+
+  /** From the first refusal on nothing more is written or commanded for the job. */
+  private void latch(Job j, JobRecord r) {
+    forget(j);
+    latched.add(j.id());
+    if (r == null) {
+      ports.info("job %s: part %s epoch %s: no record any more, given up", j.id(), part, epoch);
+    } else {
+      ports.info(
+          "job %s: part %s: fenced at epoch %s by epoch %s of %s, given up",
+          j.id(), part, epoch, r.epoch(), r.writer());
+      if (r.epoch().compareTo(fenced) > 0) {
+        fenced = r.epoch();
+      }
+    }
+    ports.count("job.fenced");
+  }
+
+  // ---- machines ------------------------------------------------------------------------------
+
+  void lent(Collection<Lent> all) {
+    Set<HostName> mine = new HashSet<>();
+    for (Lent l : all) {
+      if (!l.part().equals(part)) {
+        continue;
+      }
+      mine.add(l.host().name());
+      Host h = host(l.host().name());
+      if (h.info == null) {
+        h.info = l.host();
+        h.type = catalog.get(l.host().type());
+      }
+      if (!h.lent) {
+        h.lent = true;
+        h.lentSince = ports.now().plus(-l.ageMs());
+      }
+      h.recall = l.recall();
+    }
+    for (Host h : new ArrayList<>(hosts.values())) {
+      if (!mine.contains(h.name)) {
+        h.lent = false;
+        h.known = false;
+        if (h.empty()) {
+          hosts.remove(h.name);
+        }
+      }
+    }
+  }
+
+  void gone(Collection<HostName> names) {
+    for (HostName n : names) {
+      Host h = hosts.get(n);
+      if (h != null) {
+        loseAll(h, "released");
+        h.clearGhosts();
+        hosts.remove(n);
+      }
+    }
+  }
+
+  private void loseAll(Host h, String why) {
+    int n = h.live.size();
+    for (LiveTask t : new ArrayList<>(h.live)) {
+      lose(t);
+    }
+    if (n > 0) {
+      ports.info(
+          "machine %s: %s: %d tasks surely off it (part %s, epoch %s)",
+          h.name, why, n, part, epoch);
+      ports.count("machine.dead");
+    }
+  }
+
+  /** The attempt is surely off its machine, without a result. */
+  private void lose(LiveTask t) {
+    Job j = t.job;
+    detach(t);
+    j.touch(Urgency.LATER, ports.now());
+  }
+
+  /** When a silent machine's worker has surely killed its tasks. */
+  private boolean leaseOut(Host h) {
+    Mono from = h.lastHeard;
+    if (!h.confirmed) {
+      // An earlier owner may have gone on renewing it until its grace was over.
+      Mono quiet = grantedAt.plus(ports.tuning.graceMs() + ports.tuning.graceMs() / 500L + 1000L);
+      from = from.before(quiet) ? quiet : from;
+    }
+    double lease = ports.config.workers().leaseS() * 1000;
+    return ports.now().since(from) > lease * 1.002 + 1000;
+  }
+
+  long silentMs(Host h) {
+    Mono from = h.lastHeard.before(grantedAt) ? grantedAt : h.lastHeard;
+    return ports.now().since(from);
+  }
+
+  boolean fresh(Host h) {
+    return h.known && silentMs(h) < ports.config.workers().reportS() * 2500 + 1500;
+  }
+
+  private void verdicts() {
+    for (Host h : hosts.values()) {
+      if (!h.empty() && leaseOut(h)) {
+        loseAll(h, "its worker's lease ran out");
+        h.clearGhosts();
+        h.known = false;
+        if (h.deadTenure.compareTo(h.tenure) < 0) {
+          h.deadTenure = h.tenure;
+        }
+      }
+    }
+  }
+
+  /** The answer to a worker's report; null if we can't act on it. */
+  JsonNode report(Report r, boolean commands) {
+    Mono now = ports.now();
+    Host h = host(r.host());
+    if (h.info == null) {
+      h.info = new HostInfo(r.host(), r.type(), r.zone(), r.spot());
+      h.type = catalog.get(r.type());
+    }
+    if (r.tenure().compareTo(h.deadTenure) <= 0) {
+      // This session's tasks were given up as surely gone; a report of it can only be late.
+      return null;
+    }
+    int cmp = r.tenure().compareTo(h.tenure);
+    if (cmp < 0 || (cmp == 0 && r.serial() <= h.serial)) {
+      ports.count("report.late");
+      return null;
+    }
+    if (r.epoch().above(epoch)) {
+      return null;
+    }
+    h.lastHeard = now;
+    if (h.firstHeard == Mono.NEVER) {
+      h.firstHeard = now;
+      h.idleSince = now;
+    }
+    if (r.epoch().compareTo(firstEpoch) >= 0) {
+      h.confirmed = true;
+    }
+    if (stage != Stage.READY) {
+      h.tenure = r.tenure();
+      return WorkerMessages.answer(epoch, List.of());
+    }
+    if (cmp > 0) {
+      h.images.clear();
+    }
+    h.tenure = r.tenure();
+    h.serial = r.serial();
+    h.noticed = r.noticed();
+    List<Order> orders = new ArrayList<>();
+    takeIn(h, r, orders, commands);
+    h.known = true;
+    if (!h.empty() || h.listedTasks > 0) {
+      h.idleSince = now;
+    }
+    return WorkerMessages.answer(epoch, commands ? orders : List.of());
+  }
+
+  private void takeIn(Host h, Report r, List<Order> orders, boolean commands) {
+    Mono now = ports.now();
+    h.clearGhosts();
+    h.listedTasks = 0;
+    Set<LiveTask> unlisted = new LinkedHashSet<>(h.live);
+    for (TaskReport t : r.tasks()) {
+      JobId id = t.run().job();
+      Job j = jobs.get(id);
+      LiveTask l = j == null ? null : j.live.get(t.run().index());
+      boolean match =
+          l != null
+              && l.host == h
+              && l.attempt.equals(t.run().attempt())
+              && l.tenure.equals(r.tenure());
+      if (t.state() != TaskState.EXITED) {
+        h.listedTasks++;
+      }
+      if (match) {
+        unlisted.remove(l);
+        running(h, l, t, orders, r);
+        continue;
+      }
+      if (latched.contains(id) || (j != null && !j.claimed && j.epoch.value() > 0)) {
+        // Not ours, or not yet: nothing is commanded for it.
+        if (j != null && t.state() != TaskState.EXITED) {
+          h.addGhost(j, t.run().index());
+        }
+        continue;
+      }
+      if (t.state() == TaskState.EXITED) {
+        Long recorded = j == null ? null : j.exits.get(t.run());
+        if (recorded == null || recorded <= j.committedSeq) {
+          // Reaped only once no record names it: a repeated start would run it anew.
+          orders.add(new Forget(t.run()));
+        }
+        continue;
+      }
+      // An attempt that no record names: off with it, and nothing of it elsewhere meanwhile.
+      if (j != null && t.run().index() < j.spec.tasks()) {
+        h.addGhost(j, t.run().index());
+      }
+      orders.add(new Stop(t.run(), 0));
+      ports.info("machine %s: unexpected %s stopped", h.name, t.run());
+    }
+    for (LiveTask l : unlisted) {
+      if (l.tenure.compareTo(r.tenure()) < 0) {
+        lose(l);
+      } else if (!l.committed() || !l.job.claimed) {
+        continue;
+      } else if (l.seen) {
+        // It left the list without a reap of ours: only a new session does that.
+        ports.error("machine %s: %s vanished", h.name, l.run());
+        lose(l);
+      } else if (l.job.aborted || l.revoked || h.noticed || h.retiring) {
+        // The worker executes what an answer says or drops it whole, and this report is younger
+        // than all earlier answers: what it does not list was never started and never will be.
+        lose(l);
+      } else if (commands) {
+        orders.add(new Start(l.run()));
+      }
+    }
+  }
+
+  private void running(Host h, LiveTask l, TaskReport t, List<Order> orders, Report r) {
+    Mono now = ports.now();
+    Job j = l.job;
+    l.seen = true;
+    l.state = t.state();
+    switch (t.state()) {
+      case PULLING -> {}
+      case RUNNING -> {
+        if (l.runningSince == null) {
+          l.runningSince = now;
+        }
+        h.images.remove(j.spec.image());
+        h.images.add(j.spec.image());
+        if (h.images.size() > 64) {
+          h.images.remove(h.images.iterator().next());
+        }
+      }
+      case FLUSHING -> {}
+      case EXITED -> {
+        exited(h, l, t);
+        return;
+      }
+    }
+    if (!j.claimed) {
+      return;
+    }
+    if (j.aborted) {
+      orders.add(new Stop(l.run(), 0));
+    } else if (t.state() != TaskState.FLUSHING && (l.revoked || h.retiring)) {
+      orders.add(new Stop(l.run(), j.spec.saveS() + 1));
+    } else if (h.noticed && t.state() != TaskState.FLUSHING && j.spec.checkpointS() > 0) {
+      orders.add(new Stop(l.run(), Math.max(j.spec.saveS(), r.noticeS())));
+    }
+  }
+
+  private void exited(Host h, LiveTask l, TaskReport t) {
+    Mono now = ports.now();
+    Job j = l.job;
+    switch (t.why()) {
+      case DONE -> {
+        j.done.set(l.index);
+        j.failedOn.clear();
+        j.backoff = 0;
+        h.errors = 0;
+      }
+      case HALTED -> {}
+      case FULL -> h.noRoomUntil = now.plus(2000);
+      case BUSY -> h.noRoomUntil = now.plus(1000);
+      case ERROR, UNKNOWN -> failed(h, j, t.why());
+    }
+    detach(l);
+    if (j.done.get(l.index)) {
+      j.taken.set(l.index);
+    }
+    // The write in flight does not hold this exit; the one after it will.
+    j.exits.put(t.run(), j.seq + 1);
+    j.touch(Urgency.LATER, now);
+  }
+
+  /** Tells faulty machines from faulty jobs: a job that fails on many machines is at fault. */
+  private void failed(Host h, Job j, Why why) {
+    Mono now = ports.now();
+    ports.count("task.failed");
+    j.failedOn.add(h.name);
+    if (j.failedOn.size() > 2 || why == Why.UNKNOWN) {
+      j.backoff = Math.min(j.backoff + 1, 6);
+      j.placeAfter = now.plus(1000L << j.backoff);
+      ports.info("job %s: fails on %d machines, held back", j.id(), j.failedOn.size());
+      return;
+    }
+    j.placeAfter = now.plus(300);
+    h.errors++;
+    if (h.errors >= 2 && h.quarantinedUntil.before(now)) {
+      h.quarantines++;
+      h.quarantinedUntil = now.plus(30_000L << Math.min(h.quarantines - 1, 4));
+      ports.info("machine %s: fails what it starts, set aside", h.name);
+      ports.count("machine.quarantined");
+    }
+  }
+
+  // ---- placing -------------------------------------------------------------------------------
+
+  boolean usable(Host h) {
+    Mono now = ports.now();
+    return h.lent
+        && h.type != null
+        && fresh(h)
+        && !h.recall
+        && !h.noticed
+        && !h.retiring
+        && h.quarantinedUntil.before(now)
+        && h.noRoomUntil.before(now);
+  }
+
+  private List<Job> waiting() {
+    List<Job> l = new ArrayList<>();
+    Mono now = ports.now();
+    for (Job j : jobs.values()) {
+      if (j.queued() > 0
+          && !j.inFlight
+          && !j.rereading
+          && !j.recordFull
+          && j.placeAfter.before(now)
+          && (j.claimed || j.epoch.value() == 0)) {
+        l.add(j);
+      }
+    }
+    l.sort(order());
+    return l;
+  }
+
+  static Comparator<Job> order() {
+    return Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
+        .thenComparingLong(j -> j.acceptedAtMs)
+        .thenComparing(Job::id);
+  }
+
+  private void place(Input.RoundBudget budget) {
+    List<Job> waiting = waiting();
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<Host> room = new ArrayList<>();
+    for (Host h : hosts.values()) {
+      if (usable(h) && h.freeCpus() > 0) {
+        room.add(h);
+      }
+    }
+    // A round that ran out of time goes on where it stopped.
+    int start = 0;
+    if (cursor != null) {
+      for (int i = 0; i < waiting.size(); i++) {
+        if (waiting.get(i).id().equals(cursor)) {
+          start = i;
+        }
+      }
+    }
+    cursor = null;
+    boolean allClaimed = true;
+    for (Job j : jobs.values()) {
+      allClaimed &= j.claimed || j.epoch.value() == 0;
+    }
+    for (int i = start; i < waiting.size(); i++) {
+      if (room.isEmpty()) {
+        return;
+      }
+      if (budget.spent()) {
+        cursor = waiting.get(i).id();
+        return;
+      }
+      Job j = waiting.get(i);
+      NodeConfig.Team team = ports.config.teams().get(j.spec.team());
+      if (team != null && (team.cpusMax() > 0 || team.gpusMax() > 0) && !allClaimed) {
+        // Until every record is claimed, a late write of the last owner may add to the team's use.
+        continue;
+      }
+      place(j, team, room);
+    }
+  }
+
+  private int quotaRoom(Job j, NodeConfig.Team team) {
+    if (team == null) {
+      return 0;
+    }
+    double[] u = teamUse.getOrDefault(j.spec.team(), new double[2]);
+    double n = j.spec.tasks();
+    if (team.cpusMax() > 0 && j.spec.cpus() > 0) {
+      n = Math.min(n, Math.floor((team.cpusMax() - u[0]) / j.spec.cpus() + 1e-9));
+    }
+    if (team.gpusMax() > 0 && j.spec.gpus() > 0) {
+      n = Math.min(n, Math.floor((team.gpusMax() - u[1]) / j.spec.gpus() + 1e-9));
+    }
+    return (int) Math.max(0, n);
+  }
+
+  private void place(Job j, NodeConfig.Team team, List<Host> room) {
+    int wanted = Math.min(j.queued(), quotaRoom(j, team));
+    if (j.backoff > 0) {
+      wanted = Math.min(wanted, 1);
+    }
+    Map<String, Integer> perZone = new HashMap<>();
+    String zone = null;
+    for (LiveTask t : j.live.values()) {
+      String z = t.host.info == null ? "" : t.host.info.zone();
+      perZone.merge(z, 1, Integer::sum);
+      zone = z;
+    }
+    if (!j.spec.oneZone()) {
+      zone = null;
+    }
+    int index = 0;
+    boolean placed = false;
+    List<Host> candidates = room;
+    if (!j.failedOn.isEmpty()) {
+      candidates = new ArrayList<>(room);
+      candidates.removeIf(h -> j.failedOn.contains(h.name));
+      if (candidates.isEmpty()) {
+        candidates = room;
+      }
+    }
+    if (j.spec.spread()) {
+      candidates = new ArrayList<>(candidates);
+    }
+    while (wanted > 0 && !candidates.isEmpty()) {
+      Host h =
+          Placement.choose(
+              j.spec, wanted, candidates, zone, ports.tuning.sampleSize(), ports.random());
+      if (h == null) {
+        break;
+      }
+      int n = Math.min(wanted, h.fits(j.spec));
+      if (j.spec.spread()) {
+        int left = j.spec.zoneCap() - perZone.getOrDefault(h.info.zone(), 0);
+        n = Math.min(n, left);
+        if (n <= 0) {
+          String z = h.info.zone();
+          candidates.removeIf(x -> x.info.zone().equals(z));
+          continue;
+        }
+      }
+      Attempt attempt = new Attempt(j.tries + 1);
+      for (int k = 0; k < n; k++) {
+        index = j.nextQueued(index);
+        if (index < 0) {
+          n = k;
+          break;
+        }
+        attach(new LiveTask(j, index, h, h.tenure, attempt, j.seq + 1, ports.now()));
+      }
+      if (n == 0) {
+        break;
+      }
+      j.tries++;
+      placed = true;
+      wanted -= n;
+      perZone.merge(h.info.zone(), n, Integer::sum);
+      if (j.spec.oneZone()) {
+        zone = h.info.zone();
+      }
+      if (h.freeCpus() <= 1e-9) {
+        room.remove(h);
+        if (candidates != room) {
+          candidates.remove(h);
+        }
+      }
+    }
+    if (placed) {
+      j.touch(Urgency.NOW, ports.now());
+    }
+  }
+
+  // ---- for the leader ------------------------------------------------------------------------
+
+  PartBeat beat() {
+    List<HostName> retire = new ArrayList<>();
+    List<HostName> spare = new ArrayList<>();
+    List<HostName> back = new ArrayList<>();
+    if (ready() && valid()) {
+      renting.review(retire);
+      for (Host h : hosts.values()) {
+        if (h.recall && h.empty() && h.listedTasks == 0 && fresh(h)) {
+          back.add(h.name);
+        } else if (usable(h) && h.empty() && ports.now().since(h.idleSince) > 5000) {
+          spare.add(h.name);
+        }
+      }
+    }
+    boolean queued = !ready() || jobs.values().stream().anyMatch(j -> j.queued() > 0);
+    return new PartBeat(part, epoch, fenced, queued, renting.wants(), retire, spare, back);
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -0,0 +1,302 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import shorecrank.bookkeeping.JobRecord;
+import shorecrank.bookkeeping.JobRecord.Final;
+import shorecrank.config.NodeConfig;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.StoreMessages;
+import shorecrank.protocol.StoreMessages.Txn;
+import shorecrank.protocol.UserMessages;
+import shorecrank.protocol.UserMessages.Phase;
+
+/**
+ * The users' requests. Any controller serves them from the store alone, so that no answer is older
+ * than one already given; only what can never change again is answered from memory.
+ */
+final class UserDesk {
+  private static final int CALL_MS = 1500;
+  private static final int CANCEL_TRIES = 6;
+
+  private final Ports ports;
+  private final Cache<JobId, Final> finals =
+      Caffeine.newBuilder().maximumSize(5000).executor(Runnable::run).build();
+  private Map<String, HostType> catalog = Map.of();
+
+  UserDesk(Ports ports) {
+    this.ports = ports;
+  }
+
+  void catalog(Map<String, HostType> c) {
+    catalog = c;
+  }
+
+  private void later(long reply, String why) {
+    ports.replyLater(reply, 503, Json.error(why), 1);
+  }
+
+  private boolean busy(long reply) {
+    if (ports.requests.has(1, ports.now())) {
+      return false;
+    }
+    later(reply, "busy");
+    return true;
+  }
+
+  void submit(long reply, byte[] body) {
+    JobSpec spec;
+    try {
+      spec = JobSpec.read(Json.parse(body));
+    } catch (JobSpec.Malformed e) {
+      ports.reply(reply, 400, Json.error(e.getMessage()));
+      return;
+    }
+    if (catalog.isEmpty()) {
+      later(reply, "machine types are not known yet");
+      return;
+    }
+    String never = never(spec);
+    if (never != null) {
+      // Limits may have changed since it was accepted: a known job is answered as such.
+      lookUp(
+          spec.id(),
+          found -> answerKnown(reply, spec.id(), found),
+          () -> ports.reply(reply, 422, Json.error(never)),
+          () -> later(reply, "state service unavailable"));
+      return;
+    }
+    if (busy(reply)) {
+      return;
+    }
+    if (!ports.writes.tryTake(2, ports.now())) {
+      later(reply, "busy");
+      return;
+    }
+    create(reply, spec, 2);
+  }
+
+  private String never(JobSpec s) {
+    NodeConfig.Team team = ports.config.teams().get(s.team());
+    if (team == null) {
+      return "unknown team " + s.team();
+    }
+    if (!Placement.possible(s, catalog)) {
+      return "no allowed machine type can hold a task";
+    }
+    if ((team.cpusMax() > 0 && s.cpus() > team.cpusMax())
+        || (team.gpusMax() > 0 && s.gpus() > team.gpusMax())) {
+      return "a task needs more than the team's limit";
+    }
+    return null;
+  }
+
+  private void create(long reply, JobSpec spec, int tries) {
+    JobRecord r =
+        new JobRecord(
+            spec, Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, ports.wallMs());
+    ObjectNode value = r.write();
+    PartId part = PartId.of(spec.team(), ports.tuning.parts());
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        new Txn()
+            .guard(JobRecord.liveKey(spec.id()), Stamp.ABSENT)
+            .guard(JobRecord.finalKey(spec.id()), Stamp.ABSENT)
+            .write(JobRecord.liveKey(spec.id()), value)
+            .write(Steward.noticeKey(part, spec.id()), value)
+            .body(),
+        CALL_MS,
+        (status, body) -> {
+          if (status == 200) {
+            ports.count("job.accepted");
+            ports.reply(reply, 201, UserMessages.phase(spec.id(), Phase.QUEUED));
+          } else if (status == 409) {
+            lookUp(
+                spec.id(),
+                found -> answerKnown(reply, spec.id(), found),
+                () -> later(reply, "try again"),
+                () -> later(reply, "state service unavailable"));
+          } else if (status == 0 && tries > 1) {
+            // It may have been accepted, or be yet: the same guard settles that.
+            create(reply, spec, tries - 1);
+          } else {
+            later(reply, "state service unavailable");
+          }
+        });
+  }
+
+  /** A job as the store has it. */
+  private sealed interface Found {
+    record Unfinished(JobRecord record, Stamp stamp) implements Found {}
+
+    record Over(Final end) implements Found {}
+  }
+
+  private void answerKnown(long reply, JobId id, Found f) {
+    if (f instanceof Found.Unfinished u) {
+      ports.reply(reply, 200, UserMessages.phase(id, u.record.phase()));
+    } else if (f instanceof Found.Over o) {
+      ports.reply(reply, 200, UserMessages.phase(id, o.end.phase()));
+    }
+  }
+
+  /**
+   * The record of an unfinished job is looked up first: a job only ever moves from there to the
+   * final records, in one transaction, so one found in neither was not known when asked for.
+   */
+  private void lookUp(JobId id, Consumer<Found> found, Runnable absent, Runnable unknown) {
+    Final f = finals.getIfPresent(id);
+    if (f != null) {
+      found.accept(new Found.Over(f));
+      return;
+    }
+    ports.state(
+        "GET",
+        StoreMessages.key(JobRecord.liveKey(id)),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status == 200) {
+            StoreMessages.Entry e = StoreMessages.entry(body);
+            JobRecord r = JobRecord.read(e.value());
+            if (r == null) {
+              unknown.run();
+            } else {
+              found.accept(new Found.Unfinished(r, e.stamp()));
+            }
+          } else if (status == 404) {
+            lookUpFinal(id, found, absent, unknown);
+          } else {
+            unknown.run();
+          }
+        });
+  }
+
+  private void lookUpFinal(JobId id, Consumer<Found> found, Runnable absent, Runnable unknown) {
+    ports.state(
+        "GET",
+        StoreMessages.key(JobRecord.finalKey(id)),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status == 200) {
+            Final end = Final.read(StoreMessages.entry(body).value());
+            finals.put(id, end);
+            found.accept(new Found.Over(end));
+          } else if (status == 404) {
+            absent.run();
+          } else {
+            unknown.run();
+          }
+        });
+  }
+
+  void status(long reply, String name) {
+    if (!JobSpec.idOk(name)) {
+      ports.reply(reply, 404, Json.error("no such job"));
+      return;
+    }
+    JobId id = new JobId(name);
+    if (finals.getIfPresent(id) == null && busy(reply)) {
+      return;
+    }
+    lookUp(
+        id,
+        found -> ports.reply(reply, 200, status(id, found)),
+        () -> ports.reply(reply, 404, Json.error("no such job")),
+        () -> later(reply, "state service unavailable"));
+  }
+
+  private static JsonNode status(JobId id, Found f) {
+    if (f instanceof Found.Unfinished u) {
+      JobRecord r = u.record;
+      return UserMessages.status(
+          id, r.phase(), r.done().cardinality(), r.aborted() ? 0 : r.running());
+    }
+    Final end = ((Found.Over) f).end;
+    return UserMessages.status(id, end.phase(), end.done(), 0);
+  }
+
+  void cancel(long reply, String name) {
+    if (!JobSpec.idOk(name)) {
+      ports.reply(reply, 404, Json.error("no such job"));
+      return;
+    }
+    if (!busy(reply)) {
+      cancel(reply, new JobId(name), CANCEL_TRIES);
+    }
+  }
+
+  private void cancel(long reply, JobId id, int tries) {
+    if (tries == 0) {
+      later(reply, "busy");
+      return;
+    }
+    lookUp(
+        id,
+        found -> {
+          if (found instanceof Found.Unfinished u && !u.record.aborted()) {
+            mark(reply, id, u, tries);
+          } else {
+            answerKnown(reply, id, found);
+          }
+        },
+        () -> ports.reply(reply, 404, Json.error("no such job")),
+        () -> later(reply, "state service unavailable"));
+  }
+
+  /** Epoch and writer stay the owner's; only the mark is ours, behind the record's stamp. */
+  private void mark(long reply, JobId id, Found.Unfinished u, int tries) {
+    if (!ports.writes.tryTake(2, ports.now())) {
+      later(reply, "busy");
+      return;
+    }
+    JobRecord r = u.record;
+    JobRecord marked =
+        new JobRecord(
+            r.spec(),
+            r.epoch(),
+            r.writer(),
+            r.seq(),
+            r.done(),
+            r.live(),
+            r.tries(),
+            true,
+            r.acceptedAtMs());
+    PartId part = PartId.of(r.spec().team(), ports.tuning.parts());
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        new Txn()
+            .guard(JobRecord.liveKey(id), u.stamp)
+            .write(JobRecord.liveKey(id), marked.write())
+            .write(Steward.noticeKey(part, id), Json.object().put("x", true))
+            .body(),
+        CALL_MS,
+        (status, body) -> {
+          if (status == 200) {
+            ports.count("job.cancelled");
+            ports.reply(reply, 200, UserMessages.phase(id, Phase.WITHDRAWN));
+          } else if (status == 409 || status == 0) {
+            // Changed meanwhile, or not known: look again and write behind what is there now.
+            cancel(reply, id, tries - 1);
+          } else {
+            later(reply, "state service unavailable");
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/daemon/Rehearsal.java
@@ -0,0 +1,78 @@
+package shorecrank.daemon;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.TuningFile;
+
+/**
+ * A short run on loopback in which the controller is its own state service, cloud and peer, so that
+ * the classes it needs are loaded and the JVM can archive them. Start-up then costs a fraction of
+ * the processor time.
+ */
+final class Rehearsal {
+  private Rehearsal() {}
+
+  static void run() throws Exception {
+    int pub = freePort();
+    int peer = freePort();
+    String text =
+        """
+        {"label":"a","location":"z","public_addr":"127.0.0.1:%1$d","peer_bind":"127.0.0.1:%2$d",
+         "members":[{"label":"b","location":"z","addr":"127.0.0.1:%2$d"}],
+         "endpoints":{"cloud":"127.0.0.1:%1$d","state":"127.0.0.1:%1$d"},
+         "settings":{"teams":[{"name":"t"}],"objectives":[]}}
+        """
+            .formatted(pub, peer);
+    NodeConfig config = NodeConfig.read(text.getBytes(StandardCharsets.UTF_8));
+    new Daemon(config, TuningFile.defaults(), "rehearsal").start();
+    HttpClient client = HttpClient.newHttpClient();
+    String job =
+        """
+        {"nameId":"wk-1","jobclass":"c","owner":"t","shape":"array","urgency":"low","pieces":1,
+         "cpus":1.0,"accelerators":0.0,"memoryGb":1.0,"bundle":"i","pullGb":1.0,"hosttypes":null,
+         "site":null,"together":false,"spread":false,"loaner":true,"guessS":1.0,
+         "snapshotEveryS":0.0,"snapshotS":0.0,"dueS":null}
+        """;
+    String report =
+        """
+        {"host":"n-1","addr":"127.0.0.1:9","hosttype":"x","site":"z","loaner":false,"tenure":1,
+         "serial":1,"epoch":0,"reclaimInS":null,
+         "pieces":[{"piece":"wk-1/0","try":1,"phase":"exited","cause":"done"}]}
+        """;
+    String beat =
+        """
+        {"from":"b","writer":"w","stateOk":true,"ver":0,"parts":[],"seen":[]}
+        """;
+    for (int i = 0; i < 5; i++) {
+      send(client, pub, "/healthz", null);
+      send(client, pub, "/api/jobs", job);
+      send(client, pub, "/api/jobs/wk-1", null);
+      send(client, pub, "/api/jobs/wk-1/abort", "{}");
+      send(client, pub, "/v1/report", report);
+      send(client, peer, "/peer/beat", beat);
+      Thread.sleep(200);
+    }
+  }
+
+  private static void send(HttpClient c, int port, String path, String body)
+      throws IOException, InterruptedException {
+    HttpRequest.Builder b =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .version(HttpClient.Version.HTTP_1_1);
+    HttpRequest r =
+        body == null ? b.GET().build() : b.POST(HttpRequest.BodyPublishers.ofString(body)).build();
+    c.send(r, HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0)) {
+      return s.getLocalPort();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -0,0 +1,232 @@
+package shorecrank.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.WriterId;
+
+/**
+ * Messages between controllers: every controller beats to the leader, which answers with leases.
+ */
+public final class PeerMessages {
+  private PeerMessages() {}
+
+  public static final String BEAT = "/peer/beat";
+  public static final String NUDGE = "/peer/nudge";
+
+  /** A machine somebody saw, or that is lent. */
+  public record HostInfo(HostName name, String type, String zone, boolean spot) {}
+
+  public record Want(Offer offer, int count) {}
+
+  /** What an owner says of one part. {@code fenced} is an epoch that refused it, or NONE. */
+  public record PartBeat(
+      PartId part,
+      Epoch epoch,
+      Epoch fenced,
+      boolean queued,
+      List<Want> wants,
+      List<HostName> retire,
+      List<HostName> spare,
+      List<HostName> handedBack) {}
+
+  public record Beat(
+      NodeLabel from,
+      WriterId writer,
+      boolean stateOk,
+      long lendVersion,
+      List<PartBeat> parts,
+      List<HostInfo> seen) {}
+
+  public record Lease(PartId part, Epoch epoch, long ttlMs) {}
+
+  public record OwnerInfo(PartId part, NodeLabel label, Epoch epoch) {}
+
+  public record Lent(HostInfo host, PartId part, long ageMs, boolean recall) {}
+
+  public record Blocked(Offer offer, long forMs) {}
+
+  /** {@code lent} is null if the asker's version is current. */
+  public record BeatAnswer(
+      long term,
+      boolean othersStateOk,
+      List<Lease> leases,
+      List<OwnerInfo> owners,
+      long lendVersion,
+      List<Lent> lent,
+      List<HostName> gone,
+      List<Blocked> blocked) {}
+
+  public static ObjectNode write(Beat b) {
+    ObjectNode n = Json.object();
+    n.put("from", b.from.value()).put("writer", b.writer.value()).put("stateOk", b.stateOk);
+    n.put("ver", b.lendVersion);
+    ArrayNode ps = n.putArray("parts");
+    for (PartBeat p : b.parts) {
+      ObjectNode o = ps.addObject();
+      o.put("part", p.part.value()).put("epoch", p.epoch.value()).put("fenced", p.fenced.value());
+      o.put("queued", p.queued);
+      ArrayNode ws = o.putArray("wants");
+      for (Want w : p.wants) {
+        offer(ws.addObject(), w.offer).put("count", w.count);
+      }
+      names(o.putArray("retire"), p.retire);
+      names(o.putArray("spare"), p.spare);
+      names(o.putArray("back"), p.handedBack);
+    }
+    ArrayNode seen = n.putArray("seen");
+    b.seen.forEach(h -> host(seen.addObject(), h));
+    return n;
+  }
+
+  /** Null if malformed. */
+  public static Beat readBeat(JsonNode n) {
+    String from = Json.text(n.path("from"));
+    String writer = Json.text(n.path("writer"));
+    if (from.isEmpty() || writer.isEmpty()) {
+      return null;
+    }
+    List<PartBeat> parts = new ArrayList<>();
+    for (JsonNode p : n.path("parts")) {
+      List<Want> wants = new ArrayList<>();
+      p.path("wants").forEach(w -> wants.add(new Want(offer(w), w.path("count").asInt())));
+      parts.add(
+          new PartBeat(
+              new PartId(p.path("part").asInt()),
+              new Epoch(p.path("epoch").asLong()),
+              new Epoch(p.path("fenced").asLong()),
+              p.path("queued").asBoolean(),
+              wants,
+              names(p.path("retire")),
+              names(p.path("spare")),
+              names(p.path("back"))));
+    }
+    List<HostInfo> seen = new ArrayList<>();
+    n.path("seen").forEach(h -> seen.add(host(h)));
+    return new Beat(
+        new NodeLabel(from),
+        new WriterId(writer),
+        n.path("stateOk").asBoolean(),
+        n.path("ver").asLong(-1),
+        parts,
+        seen);
+  }
+
+  public static ObjectNode write(BeatAnswer a) {
+    ObjectNode n = Json.object();
+    n.put("term", a.term).put("othersOk", a.othersStateOk).put("ver", a.lendVersion);
+    ArrayNode ls = n.putArray("leases");
+    for (Lease l : a.leases) {
+      ls.addObject()
+          .put("part", l.part.value())
+          .put("epoch", l.epoch.value())
+          .put("ttlMs", l.ttlMs);
+    }
+    ArrayNode os = n.putArray("owners");
+    for (OwnerInfo o : a.owners) {
+      os.addObject()
+          .put("part", o.part.value())
+          .put("label", o.label.value())
+          .put("epoch", o.epoch.value());
+    }
+    if (a.lent != null) {
+      ArrayNode hs = n.putArray("lent");
+      for (Lent l : a.lent) {
+        host(hs.addObject(), l.host)
+            .put("part", l.part.value())
+            .put("age", l.ageMs)
+            .put("recall", l.recall);
+      }
+    }
+    names(n.putArray("gone"), a.gone);
+    ArrayNode bs = n.putArray("blocked");
+    for (Blocked b : a.blocked) {
+      offer(bs.addObject(), b.offer).put("ms", b.forMs);
+    }
+    return n;
+  }
+
+  /** Null if malformed. */
+  public static BeatAnswer readAnswer(JsonNode n) {
+    if (!n.path("term").isIntegralNumber()) {
+      return null;
+    }
+    List<Lease> leases = new ArrayList<>();
+    for (JsonNode l : n.path("leases")) {
+      leases.add(
+          new Lease(
+              new PartId(l.path("part").asInt()),
+              new Epoch(l.path("epoch").asLong()),
+              l.path("ttlMs").asLong()));
+    }
+    List<OwnerInfo> owners = new ArrayList<>();
+    for (JsonNode o : n.path("owners")) {
+      owners.add(
+          new OwnerInfo(
+              new PartId(o.path("part").asInt()),
+              new NodeLabel(o.path("label").asText()),
+              new Epoch(o.path("epoch").asLong())));
+    }
+    List<Lent> lent = null;
+    if (n.path("lent").isArray()) {
+      lent = new ArrayList<>();
+      for (JsonNode h : n.path("lent")) {
+        lent.add(
+            new Lent(
+                host(h),
+                new PartId(h.path("part").asInt()),
+                h.path("age").asLong(),
+                h.path("recall").asBoolean()));
+      }
+    }
+    List<Blocked> blocked = new ArrayList<>();
+    n.path("blocked").forEach(b -> blocked.add(new Blocked(offer(b), b.path("ms").asLong())));
+    return new BeatAnswer(
+        n.path("term").asLong(),
+        n.path("othersOk").asBoolean(),
+        leases,
+        owners,
+        n.path("ver").asLong(),
+        lent,
+        names(n.path("gone")),
+        blocked);
+  }
+
+  private static ObjectNode host(ObjectNode o, HostInfo h) {
+    return o.put("h", h.name.value()).put("type", h.type).put("zone", h.zone).put("spot", h.spot);
+  }
+
+  private static HostInfo host(JsonNode n) {
+    return new HostInfo(
+        new HostName(n.path("h").asText()),
+        n.path("type").asText(),
+        n.path("zone").asText(),
+        n.path("spot").asBoolean());
+  }
+
+  private static ObjectNode offer(ObjectNode o, Offer f) {
+    return o.put("type", f.type()).put("zone", f.zone()).put("spot", f.spot());
+  }
+
+  private static Offer offer(JsonNode n) {
+    return new Offer(n.path("type").asText(), n.path("zone").asText(), n.path("spot").asBoolean());
+  }
+
+  private static void names(ArrayNode a, Collection<HostName> l) {
+    l.forEach(h -> a.add(h.value()));
+  }
+
+  private static List<HostName> names(JsonNode a) {
+    List<HostName> l = new ArrayList<>();
+    a.forEach(h -> l.add(new HostName(h.asText())));
+    return l;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/protocol/WorkerMessages.java
@@ -0,0 +1,173 @@
+package shorecrank.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import shorecrank.protocol.Ids.Attempt;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.TaskRun;
+import shorecrank.protocol.Ids.Tenure;
+
+/** What workers report and what they are told. */
+public final class WorkerMessages {
+  private WorkerMessages() {}
+
+  public enum TaskState {
+    PULLING,
+    RUNNING,
+    FLUSHING,
+    EXITED
+  }
+
+  /** Why a task exited. */
+  public enum Why {
+    DONE,
+    HALTED,
+    ERROR,
+    FULL,
+    BUSY,
+    UNKNOWN
+  }
+
+  public record TaskReport(TaskRun run, TaskState state, Why why) {}
+
+  public record Report(
+      HostName host,
+      String type,
+      String zone,
+      boolean spot,
+      Tenure tenure,
+      long serial,
+      Epoch epoch,
+      double noticeS,
+      List<TaskReport> tasks) {
+    public boolean noticed() {
+      return noticeS >= 0;
+    }
+  }
+
+  public sealed interface Order {
+    TaskRun run();
+  }
+
+  public record Start(TaskRun run) implements Order {}
+
+  public record Stop(TaskRun run, double graceS) implements Order {}
+
+  public record Forget(TaskRun run) implements Order {}
+
+  /** Null if the report is malformed. */
+  public static Report read(JsonNode n) {
+    String host = Json.text(n.path("host"));
+    long tenure = Json.count(n.path("tenure"));
+    long serial = Json.count(n.path("serial"));
+    long epoch = Json.count(n.path("epoch"));
+    JsonNode pieces = n.path("pieces");
+    if (host.isEmpty()
+        || host.length() > 150
+        || host.indexOf(' ') >= 0
+        || host.indexOf('/') >= 0
+        || tenure < 0
+        || serial < 0
+        || epoch < 0
+        || !(pieces.isArray() || pieces.isMissingNode() || pieces.isNull())) {
+      return null;
+    }
+    List<TaskReport> tasks = new ArrayList<>(pieces.size());
+    for (JsonNode p : pieces) {
+      TaskReport t = task(p);
+      if (t == null) {
+        return null;
+      }
+      tasks.add(t);
+    }
+    JsonNode notice = n.path("reclaimInS");
+    return new Report(
+        new HostName(host),
+        Json.text(n.path("hosttype")),
+        Json.text(n.path("site")),
+        n.path("loaner").asBoolean(false),
+        new Tenure(tenure),
+        serial,
+        new Epoch(epoch),
+        notice.isNumber() ? Math.max(0, notice.doubleValue()) : -1,
+        tasks);
+  }
+
+  private static TaskReport task(JsonNode p) {
+    String piece = Json.text(p.path("piece"));
+    int slash = piece.lastIndexOf('/');
+    long attempt = Json.count(p.path("try"));
+    if (slash <= 0 || attempt < 0) {
+      return null;
+    }
+    int index;
+    try {
+      index = Integer.parseInt(piece.substring(slash + 1));
+    } catch (NumberFormatException e) {
+      return null;
+    }
+    TaskState state =
+        switch (Json.text(p.path("phase"))) {
+          case "pulling" -> TaskState.PULLING;
+          case "running" -> TaskState.RUNNING;
+          case "flushing" -> TaskState.FLUSHING;
+          case "exited" -> TaskState.EXITED;
+          default -> null;
+        };
+    if (state == null || index < 0) {
+      return null;
+    }
+    Why why = null;
+    if (state == TaskState.EXITED) {
+      why =
+          switch (Json.text(p.path("cause"))) {
+            case "done" -> Why.DONE;
+            case "halted" -> Why.HALTED;
+            case "full" -> Why.FULL;
+            case "busy" -> Why.BUSY;
+            case "unknown" -> Why.UNKNOWN;
+            default -> Why.ERROR;
+          };
+    }
+    return new TaskReport(
+        new TaskRun(new JobId(piece.substring(0, slash)), index, new Attempt(attempt)), state, why);
+  }
+
+  public static ObjectNode answer(Epoch epoch, List<Order> orders) {
+    ObjectNode n = Json.object().put("epoch", epoch.value());
+    ArrayNode a = n.putArray("orders");
+    for (Order o : orders) {
+      ObjectNode e = a.addObject();
+      String verb;
+      if (o instanceof Start) {
+        verb = "start";
+      } else if (o instanceof Stop) {
+        verb = "stop";
+      } else {
+        verb = "reap";
+      }
+      e.put("verb", verb)
+          .put("piece", o.run().job().value() + "/" + o.run().index())
+          .put("try", o.run().attempt().value());
+      if (o instanceof Stop s) {
+        e.put("windDownS", s.graceS());
+      }
+    }
+    return n;
+  }
+
+  /** Sends a worker elsewhere; null if it is not known where. */
+  public static ObjectNode elsewhere(NodeLabel steward) {
+    ObjectNode n = Json.object();
+    if (steward != null) {
+      n.put("steward", steward.value());
+    }
+    return n;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/transport/Runtime.java
@@ -0,0 +1,156 @@
+package shorecrank.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.NodeConfig.Member;
+import shorecrank.config.Tuning;
+import shorecrank.coordination.Core;
+import shorecrank.coordination.Input;
+import shorecrank.coordination.Output;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Json;
+
+/** Runs the core on one event loop: sockets and clocks on one side, its inputs on the other. */
+public final class Runtime {
+  private static final Logger LOG = LoggerFactory.getLogger("shorecrank");
+  private static final int EXIT_BROKEN = 3;
+
+  private final NodeConfig config;
+  private final Tuning tuning;
+  private final Core core;
+  private final MeterRegistry meters;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final NanoClock nanos = SystemNanoClock.INSTANCE;
+  private final EpochClock wall = SystemEpochClock.INSTANCE;
+  private final SplittableRandom entropy = new SplittableRandom(new SecureRandom().nextLong());
+  private final Long2ObjectOpenHashMap<HttpServer.Exchange> exchanges =
+      new Long2ObjectOpenHashMap<>();
+  private final Object2DoubleOpenHashMap<String> gauges = new Object2DoubleOpenHashMap<>();
+  private final HttpClientPool state;
+  private final HttpClientPool cloud;
+  private final Map<NodeLabel, HttpClientPool> peers = new HashMap<>();
+  private long nextExchange = 1;
+
+  public Runtime(NodeConfig config, Tuning tuning, Core core, MeterRegistry meters) {
+    this.config = config;
+    this.tuning = tuning;
+    this.core = core;
+    this.meters = meters;
+    this.state = new HttpClientPool(loop, config.stateAddr(), 24);
+    this.cloud = new HttpClientPool(loop, config.cloudAddr(), 6);
+    for (Member m : config.members()) {
+      peers.put(m.label(), new HttpClientPool(loop, m.addr(), 4));
+    }
+  }
+
+  public void start() throws InterruptedException {
+    int sockets = config.limits().sockets();
+    new HttpServer((int) (sockets * 0.8), (e, m, p, b) -> request(e, false, m, p, b))
+        .bind(group, config.publicAddr());
+    new HttpServer(Math.max(8, (int) (sockets * 0.08)), (e, m, p, b) -> request(e, true, m, p, b))
+        .bind(group, config.peerBind());
+    loop.execute(this::tick);
+  }
+
+  private void request(
+      HttpServer.Exchange e, boolean fromPeer, String method, String path, byte[] body) {
+    if (fromPeer && path.equals("/metrics")) {
+      e.answer(200, "text/plain", metrics().getBytes(StandardCharsets.UTF_8), 0);
+      return;
+    }
+    long id = nextExchange++;
+    exchanges.put(id, e);
+    step(new Input.Request(id, fromPeer, method, path, body));
+  }
+
+  private void tick() {
+    long began = nanos.nanoTime();
+    long budget = TimeUnit.MILLISECONDS.toNanos(tuning.roundBudgetMs());
+    step(new Input.Tick(() -> nanos.nanoTime() - began > budget));
+    loop.schedule(this::tick, tuning.roundMs(), TimeUnit.MILLISECONDS);
+  }
+
+  private void step(Input in) {
+    List<Output> out;
+    try {
+      out = core.step(in, new Mono(nanos.nanoTime() / 1_000_000), wall.time(), entropy.nextLong());
+    } catch (RuntimeException | Error e) {
+      // After a failure half way its picture can't be trusted: a fresh process rebuilds it.
+      LOG.error("core failed on {}", in.getClass().getSimpleName(), e);
+      java.lang.Runtime.getRuntime().halt(EXIT_BROKEN);
+      return;
+    }
+    for (Output o : out) {
+      if (o instanceof Output.Reply r) {
+        HttpServer.Exchange e = exchanges.remove(r.reply());
+        if (e != null) {
+          e.answer(r.status(), "application/json", Json.bytes(r.body()), r.retryAfterS());
+        }
+      } else if (o instanceof Output.Call c) {
+        call(c);
+      } else if (o instanceof Output.Log l) {
+        switch (l.level()) {
+          case ERROR -> LOG.error("{}", l.text());
+          case INFO -> LOG.info("{}", l.text());
+          case DEBUG -> LOG.debug("{}", l.text());
+        }
+      } else if (o instanceof Output.Count n) {
+        meters.counter(n.metric()).increment(n.by());
+      } else if (o instanceof Output.Gauge g) {
+        if (!gauges.containsKey(g.metric())) {
+          meters.gauge(g.metric(), gauges, m -> m.getDouble(g.metric()));
+        }
+        gauges.put(g.metric(), g.value());
+      }
+    }
+  }
+
+  private void call(Output.Call c) {
+    HttpClientPool pool;
+    if (c.target() instanceof Output.Peer p) {
+      pool = peers.get(p.label());
+    } else {
+      pool = c.target() == Output.Service.STATE ? state : cloud;
+    }
+    HttpClientPool.OnAnswer then = (s, body) -> step(new Input.Answer(c.call(), s, body));
+    if (pool == null) {
+      JsonNode none = Json.parse(null);
+      loop.execute(() -> then.answer(0, none));
+    } else {
+      pool.call(c.method(), c.path(), c.body(), c.timeoutMs(), then);
+    }
+  }
+
+  private String metrics() {
+    StringBuilder s = new StringBuilder();
+    for (Meter m : meters.getMeters()) {
+      m.measure()
+          .forEach(
+              v -> s.append(m.getId().getName()).append(' ').append(v.getValue()).append('\n'));
+    }
+    return s.toString();
+  }
+}
