--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -149,7 +149,9 @@
         }
       }
       double cover = Math.min(eligible, deficit);
-      int count = (int) Math.min(10, Math.ceil(cover / t.cpus() - 0.25));
+      // A small overhang waits for room, but not for ever: a job no machine can serve needs one.
+      double slack = queued.stream().allMatch(this::served) ? 0.25 : 0;
+      int count = (int) Math.min(10, Math.ceil(cover / t.cpus() - slack));
       if (count > 0) {
         wants.add(new Want(o, count));
         deficit -= count * t.cpus();
@@ -161,6 +163,15 @@
     return wants;
   }
 
+  private boolean served(Job j) {
+    for (Host h : steward.hosts.values()) {
+      if (h.lent && !h.retiring && !h.noticed && h.allowed(j.spec)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** A task's share of a machine in processors, where memory or accelerators may be what counts. */
   private static double size(JobSpec s, Map<String, HostType> catalog) {
     double best = Double.MAX_VALUE;
