--- a/src/main/java/shorecrank/bookkeeping/Budget.java
+++ b/src/main/java/shorecrank/bookkeeping/Budget.java
@@ -17,6 +17,10 @@
     this.rate = rate;
   }
 
+  public double rate() {
+    return rate;
+  }
+
   public boolean has(double n, Mono now) {
     refill(now);
     // More than a second's worth passes on a full bucket: it is paid off afterwards.
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -542,9 +542,12 @@
       return;
     }
     int n = Math.min(unsaved.size(), ports.config.state().txnOps());
-    if (!ports.writes.tryTake(n, ports.now())) {
+    n = (int) Math.max(1, Math.min(n, ports.writes.rate() / 2));
+    // Room stays for acceptances, which go first.
+    if (!ports.writes.has(n + 4, ports.now())) {
       return;
     }
+    ports.writes.take(n, ports.now());
     saving = true;
     List<Host> batch = new ArrayList<>(unsaved.subList(0, n));
     unsaved.subList(0, n).clear();
--- /dev/null
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -0,0 +1,265 @@
+package shorecrank.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.Tuning;
+import shorecrank.config.TuningFile;
+import shorecrank.protocol.Json;
+import shorecrank.sim.World.JobPlan;
+import shorecrank.sim.World.Mode;
+import shorecrank.sim.World.Node;
+
+/**
+ * A scenario in a text file, a line a step; what the lines mean is said in docs/design.md.
+ *
+ * <p>Every rule of the protocol is checked at every step; {@code expect} lines add what else must
+ * hold.
+ */
+final class Scenario {
+  private final String name;
+  private final List<String> lines;
+  private final List<String> failures = new ArrayList<>();
+
+  Scenario(String name, String text) {
+    this.name = name;
+    this.lines = Arrays.stream(text.split("\n")).map(String::trim).toList();
+  }
+
+  List<String> play(long seed, boolean verbose) throws NodeConfig.Invalid {
+    failures.clear();
+    StringBuilder tuning = new StringBuilder();
+    for (String l : lines) {
+      if (l.startsWith("set ")) {
+        tuning.append(l.substring(4)).append('\n');
+      }
+    }
+    Tuning t = tuning.isEmpty() ? TuningFile.defaults() : TuningFile.read(tuning.toString());
+    World w = new World(seed, t);
+    w.verbose = verbose;
+    int nodes = 3;
+    long until = 120_000;
+    List<Runnable> boots = new ArrayList<>();
+    for (String l : lines) {
+      if (l.isEmpty() || l.startsWith("#") || l.startsWith("set ")) {
+        continue;
+      }
+      String[] a = l.split("\\s+");
+      switch (a[0]) {
+        case "nodes" -> nodes = Integer.parseInt(a[1]);
+        case "workers" -> {
+          Map<String, String> o = options(a, 1);
+          w.reportS = number(o, "report", w.reportS);
+          w.leaseS = number(o, "lease", w.leaseS);
+          w.cancelS = number(o, "cancel", w.cancelS);
+        }
+        case "state" -> {
+          Map<String, String> o = options(a, 1);
+          w.stateRps = number(o, "rps", w.stateRps);
+          w.stateWrites = number(o, "writes", w.stateWrites);
+        }
+        case "type" -> {
+          Map<String, String> o = options(a, 2);
+          World.TypePlan p = new World.TypePlan();
+          p.cpus = number(o, "cpus", 8);
+          p.memoryGb = number(o, "mem", 32);
+          p.bootS = number(o, "boot", 20);
+          p.zones = List.of(o.getOrDefault("zones", "a").split(","));
+          w.types.put(a[1], p);
+        }
+        case "team" -> w.teamMax.put(a[1], number(options(a, 2), "max", 0));
+        case "capacity" -> w.cloud.capacity = Integer.parseInt(a[1]);
+        case "bootfails" -> w.cloud.bootFails = Integer.parseInt(a[1]);
+        case "machines" ->
+            boots.add(
+                () -> {
+                  for (int i = 0; i < Integer.parseInt(a[3]); i++) {
+                    w.cloud.boot(a[1], a[2], a.length > 4 && a[4].equals("spot"), 0);
+                  }
+                });
+        case "at" -> {
+          long ms = (long) (Double.parseDouble(a[1]) * 1000);
+          String[] rest = Arrays.copyOfRange(a, 2, a.length);
+          w.sim.at(ms, () -> act(w, rest, l));
+        }
+        case "until" -> until = (long) (Double.parseDouble(a[1]) * 1000);
+        default -> throw new IllegalArgumentException(name + ": " + l);
+      }
+    }
+    if (w.teamMax.isEmpty()) {
+      w.teamMax.put("t", 0.0);
+    }
+    w.open(nodes);
+    boots.forEach(Runnable::run);
+    w.sim.run(until);
+    List<String> all = new ArrayList<>(w.checker.broken);
+    if (w.checker.starts == 0) {
+      all.add("nothing_ran");
+    }
+    all.addAll(failures);
+    return all;
+  }
+
+  private static Map<String, String> options(String[] a, int from) {
+    Map<String, String> o = new HashMap<>();
+    for (int i = from; i < a.length; i++) {
+      String[] kv = a[i].split("=", 2);
+      o.put(kv[0], kv.length > 1 ? kv[1] : "true");
+    }
+    return o;
+  }
+
+  private static double number(Map<String, String> o, String k, double unset) {
+    return o.containsKey(k) ? Double.parseDouble(o.get(k)) : unset;
+  }
+
+  private static JobPlan plan(Map<String, String> o) {
+    JobPlan p = new JobPlan();
+    p.team = o.getOrDefault("team", p.team);
+    p.image = o.getOrDefault("image", p.image);
+    p.site = o.get("site");
+    p.hosttype = o.get("hosttype");
+    p.urgency = o.getOrDefault("urgency", p.urgency);
+    p.pieces = (int) number(o, "pieces", p.pieces);
+    p.cpus = number(o, "cpus", p.cpus);
+    p.mem = number(o, "mem", p.mem);
+    p.runS = number(o, "run", p.runS);
+    p.pullS = number(o, "pull", p.pullS);
+    p.saveS = number(o, "save", p.saveS);
+    p.due = number(o, "due", p.due);
+    p.saves = o.containsKey("save");
+    p.spot = !o.containsKey("ordinary");
+    p.together = o.containsKey("together");
+    p.spread = o.containsKey("spread");
+    p.faulty = o.containsKey("faulty");
+    return p;
+  }
+
+  private List<Node> who(World w, String s) {
+    if (s.equals("all")) {
+      return w.nodes;
+    }
+    Node n =
+        switch (s) {
+          case "leader" -> w.leader();
+          case "owner" -> w.owner(0);
+          default -> w.nodes.get(w.index(s));
+        };
+    return n == null ? List.of() : List.of(n);
+  }
+
+  private static long ms(String s) {
+    return (long) (Double.parseDouble(s) * 1000);
+  }
+
+  private static Mode mode(String[] a, int i) {
+    return a.length > i ? Mode.valueOf(a[i].toUpperCase(java.util.Locale.ROOT)) : Mode.DROP;
+  }
+
+  private void act(World w, String[] a, String line) {
+    switch (a[0]) {
+      case "submit" -> w.submit(a[1], plan(options(a, 2)));
+      case "resubmit" -> w.resubmit(a[1]);
+      case "ask" -> w.ask(a[1]);
+      case "cancel" -> w.cancel(a[1]);
+      case "crash" -> who(w, a[1]).forEach(n -> n.crash(ms(a.length > 2 ? a[2] : "4")));
+      case "freeze" -> who(w, a[1]).forEach(n -> n.frozenUntil = w.sim.now + ms(a[2]));
+      case "cut" -> who(w, a[1]).forEach(n -> w.cut(n, a[2], ms(a[3]), mode(a, 4)));
+      case "outage" -> {
+        if (a[1].equals("state")) {
+          w.store.outage(ms(a[2]));
+        } else {
+          w.cloud.outage(ms(a[2]));
+        }
+      }
+      case "hang" -> machines(w, a[1]).forEach(x -> x.hang(ms(a[2])));
+      case "silence" -> machines(w, a[1]).forEach(x -> w.cutWorker(x, ms(a[2]), mode(a, 3)));
+      case "sick" -> machines(w, a[1]).forEach(x -> x.sick = true);
+      case "take" -> machines(w, a[1]).forEach(x -> w.cloud.take(x.name));
+      case "notice" ->
+          machines(w, a[1])
+              .forEach(
+                  x -> {
+                    x.notice = Double.parseDouble(a[2]);
+                    w.sim.after(ms(a[2]), () -> w.cloud.take(x.name));
+                  });
+      case "capacity" -> w.cloud.capacity = Integer.parseInt(a[1]);
+      case "rogue" -> {
+        // Another process has written the record: at a higher, equal or lower epoch.
+        ObjectNode r = w.store.peek("j/" + a[1]).deepCopy();
+        r.put("e", r.path("e").asLong() + Long.parseLong(a[2])).put("w", "stranger");
+        w.store.poke("j/" + a[1], r);
+      }
+      case "drop" -> w.store.poke("j/" + a[1], null);
+      case "expect" -> expect(w, a, line);
+      default -> throw new IllegalArgumentException(name + ": " + line);
+    }
+  }
+
+  private static List<Worker> machines(World w, String s) {
+    if (s.equals("all")) {
+      return new ArrayList<>(w.workers.values());
+    }
+    if (s.startsWith("zone=")) {
+      return w.workers.values().stream().filter(x -> x.zone.equals(s.substring(5))).toList();
+    }
+    if (s.startsWith("of=")) {
+      Worker x = w.runs(s.substring(3));
+      return x == null ? List.of() : List.of(x);
+    }
+    Worker x = w.workers.get(s);
+    return x == null ? List.of() : List.of(x);
+  }
+
+  private void expect(World w, String[] a, String line) {
+    boolean ok =
+        switch (a[1]) {
+          case "done", "withdrawn" ->
+              Arrays.stream(a[2].split(",")).allMatch(j -> w.checker.told(j).equals(a[1]));
+          case "status" -> w.statuses.getOrDefault(a[2], 0) == Integer.parseInt(a[3]);
+          case "epoch" -> w.store.peek("epoch").path("v").asLong() >= Long.parseLong(a[2]);
+          case "epoch-below" -> w.store.peek("epoch").path("v").asLong() < Long.parseLong(a[2]);
+          case "kills-below" -> w.leaseKills < Integer.parseInt(a[2]);
+          case "machines-below" -> w.cloud.size() < Integer.parseInt(a[2]);
+          case "machines-above" -> w.cloud.size() > Integer.parseInt(a[2]);
+          case "gone" -> w.cloud.releasedEver.contains(a[2]);
+          case "starts-below" -> w.checker.starts < Integer.parseInt(a[2]);
+          case "requests-below" -> w.store.requests < Integer.parseInt(a[2]);
+          case "full-below" -> w.refusedFull < Integer.parseInt(a[2]);
+          case "log" -> {
+            String text = line.substring(line.indexOf(" log ") + 5).trim();
+            yield w.logs.stream().anyMatch(l -> l.contains(text));
+          }
+          case "nolog" -> {
+            String text = line.substring(line.indexOf(" nolog ") + 7).trim();
+            yield w.logs.stream().noneMatch(l -> l.contains(text));
+          }
+          case "owner-known" -> w.owner(0) != null;
+          default -> throw new IllegalArgumentException(name + ": " + line);
+        };
+    if (!ok) {
+      failures.add("not so: " + line + jobStates(w, a));
+    }
+  }
+
+  private static String jobStates(World w, String[] a) {
+    StringBuilder b = new StringBuilder();
+    if (a.length > 2) {
+      for (String j : a[2].split(",")) {
+        if (w.plans.containsKey(j)) {
+          b.append(" [").append(j).append(' ').append(w.checker.told(j)).append(' ');
+          b.append(
+              w.store.peek("j/" + j).isMissingNode()
+                  ? ""
+                  : Json.object().set("r", w.store.peek("j/" + j)).toString());
+          b.append(']');
+        }
+      }
+    }
+    return b.toString();
+  }
+}
--- /dev/null
+++ b/src/test/java/shorecrank/sim/ScenarioTest.java
@@ -0,0 +1,45 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Plays every scenario file, each from a few fixed seeds. */
+class ScenarioTest {
+  private static final Path DIR = Path.of("src/test/resources/scenarios");
+
+  @TestFactory
+  List<DynamicTest> scenarios() throws Exception {
+    List<Path> files;
+    try (Stream<Path> s = Files.list(DIR)) {
+      files = s.filter(p -> p.toString().endsWith(".txt")).sorted().toList();
+    }
+    assertTrue(files.size() >= 24, "scenario files are missing");
+    String only = System.getProperty("scenario", "");
+    List<DynamicTest> tests = new ArrayList<>();
+    for (Path p : files) {
+      String name = p.getFileName().toString().replace(".txt", "");
+      if (!only.isEmpty() && !name.equals(only)) {
+        continue;
+      }
+      for (long seed = 1; seed <= 4; seed++) {
+        long s = seed;
+        tests.add(
+            DynamicTest.dynamicTest(
+                name + " seed " + s,
+                () ->
+                    assertEquals(
+                        List.of(),
+                        new Scenario(name, Files.readString(p)).play(s, !only.isEmpty()))));
+      }
+    }
+    return tests;
+  }
+}
--- /dev/null
+++ b/src/test/java/shorecrank/sim/World.java
@@ -0,0 +1,516 @@
+package shorecrank.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.Tuning;
+import shorecrank.coordination.Core;
+import shorecrank.coordination.Input;
+import shorecrank.coordination.Output;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.Json;
+
+/** Controllers and stand-ins on one simulated clock, with troubles. */
+final class World {
+  static final class TypePlan {
+    double cpus;
+    double memoryGb;
+    double bootS;
+    List<String> zones;
+  }
+
+  static final class JobPlan {
+    String team = "t";
+    String image = "i";
+    String site;
+    String hosttype;
+    int pieces = 1;
+    double cpus = 1;
+    double mem = 1;
+    double runS = 5;
+    double pullS = 1;
+    double saveS;
+    boolean saves;
+    boolean spot = true;
+    boolean together;
+    boolean spread;
+    boolean faulty;
+    String urgency = "normal";
+    double due;
+  }
+
+  /** What a cut does to messages. */
+  enum Mode {
+    DROP,
+    HOLD,
+    REFUSE
+  }
+
+  private record Cut(String what, long until, Mode mode, List<Runnable> held) {}
+
+  final class Node {
+    final int index;
+    final String label;
+    Core core;
+    int life;
+    boolean up;
+    long frozenUntil = -1;
+    final double clock;
+    final long clockOffset;
+    final List<Cut> cuts = new ArrayList<>();
+    final Map<Long, BiConsumer<Integer, JsonNode>> replies = new HashMap<>();
+    long nextReply = 1;
+
+    Node(int index) {
+      this.index = index;
+      this.label = "n" + index;
+      this.clock = 1 + (sim.random.nextDouble() - 0.5) * 0.001;
+      this.clockOffset = sim.random.nextInt(1_000_000);
+    }
+
+    void start() {
+      up = true;
+      life++;
+      core = new Core(config(this), tuning, new WriterId(label + "." + life));
+      int mine = life;
+      sim.after(20 + sim.random.nextInt(50), () -> tick(mine));
+    }
+
+    void crash(long restartMs) {
+      if (!up) {
+        return;
+      }
+      up = false;
+      core = null;
+      replies.clear();
+      sim.after(restartMs, this::start);
+    }
+
+    private void tick(int mine) {
+      if (!up || life != mine) {
+        return;
+      }
+      if (sim.now < frozenUntil) {
+        sim.at(frozenUntil, () -> tick(mine));
+        return;
+      }
+      step(new Input.Tick(() -> false));
+      sim.after(50, () -> tick(mine));
+    }
+
+    /** A frozen process reads what came meanwhile once it goes on. */
+    void input(Input in) {
+      int mine = life;
+      if (sim.now < frozenUntil) {
+        sim.at(
+            frozenUntil,
+            () -> {
+              if (up && life == mine) {
+                step(in);
+              }
+            });
+      } else {
+        step(in);
+      }
+    }
+
+    private void step(Input in) {
+      Mono now = new Mono((long) (sim.now * clock) + clockOffset);
+      for (Output o : core.step(in, now, 1_000_000_000_000L + sim.now, sim.random.nextLong())) {
+        if (o instanceof Output.Reply r) {
+          BiConsumer<Integer, JsonNode> to = replies.remove(r.reply());
+          if (to != null) {
+            to.accept(r.status(), r.body());
+          }
+        } else if (o instanceof Output.Call c) {
+          call(this, c);
+        } else if (o instanceof Output.Log l) {
+          if (verbose) {
+            System.out.printf("%9.3f %s %s%n", sim.now / 1000.0, label, l.text());
+          }
+          logs.add(l.text());
+        }
+      }
+    }
+
+    Cut cut(String what) {
+      for (Cut c : cuts) {
+        if (c.until > sim.now && (c.what.equals(what) || c.what.equals("all"))) {
+          return c;
+        }
+      }
+      return null;
+    }
+  }
+
+  final Sim sim;
+  final Store store;
+  final Checker checker;
+  final CloudSim cloud;
+  final List<Node> nodes = new ArrayList<>();
+  final Map<String, Worker> workers = new TreeMap<>();
+  final Map<String, TypePlan> types = new TreeMap<>();
+  final Map<String, JobPlan> plans = new TreeMap<>();
+  final Map<String, Double> teamMax = new TreeMap<>();
+  final Set<String> submitted = new HashSet<>();
+  final Set<String> cancelAsked = new HashSet<>();
+  final Set<String> results = new HashSet<>();
+  final List<String> logs = new ArrayList<>();
+  private final Map<String, List<Cut>> workerCuts = new HashMap<>();
+  Tuning tuning;
+  boolean verbose;
+  double reportS = 1.5;
+  double leaseS = 10;
+  double cancelS = 40;
+  double listLagS = 3;
+  double stateRps = 100;
+  double stateWrites = 50;
+  int leaseKills;
+  int refusedFull;
+
+  World(long seed, Tuning tuning) {
+    this.sim = new Sim(seed);
+    this.tuning = tuning;
+    this.store = new Store(sim);
+    this.checker = new Checker(this);
+    this.cloud = new CloudSim(this);
+  }
+
+  int index(String label) {
+    for (Node n : nodes) {
+      if (n.label.equals(label)) {
+        return n.index;
+      }
+    }
+    return -1;
+  }
+
+  private NodeConfig config(Node n) {
+    ObjectNode c = Json.object().put("label", n.label).put("location", "a");
+    c.put("public_addr", "10.0.0." + (n.index + 1) + ":80");
+    c.put("peer_bind", "10.0.0." + (n.index + 1) + ":81");
+    var members = c.putArray("members");
+    for (Node o : nodes) {
+      if (o != n) {
+        members
+            .addObject()
+            .put("label", o.label)
+            .put("location", "a")
+            .put("addr", "10.0.0." + (o.index + 1) + ":81");
+      }
+    }
+    c.putObject("endpoints").put("cloud", "10.2.0.2:1").put("state", "10.2.0.1:1");
+    ObjectNode s = c.putObject("settings");
+    var teams = s.putArray("teams");
+    teamMax.forEach(
+        (name, max) ->
+            teams
+                .addObject()
+                .put("name", name)
+                .put("cpus", 0.0)
+                .put("cpus_max", max)
+                .put("gpus", 0.0)
+                .put("gpus_max", 0.0));
+    s.putObject("workers").put("report_s", reportS).put("lease_s", leaseS).put("cancel_s", cancelS);
+    s.putObject("state").put("rps", stateRps).put("write_rps", stateWrites).put("txn_ops", 16);
+    s.putObject("cloud").put("rps", 4.0).put("list_lag_s", listLagS);
+    try {
+      return NodeConfig.read(Json.bytes(c));
+    } catch (NodeConfig.Invalid e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  void open(int count) {
+    for (int i = 0; i < count; i++) {
+      nodes.add(new Node(i));
+    }
+    nodes.forEach(Node::start);
+  }
+
+  private long delay() {
+    return 1 + sim.random.nextInt(6);
+  }
+
+  // ---- the network ---------------------------------------------------------------------------
+
+  /** Delivers across a cut: at once, after it, or never. */
+  private void through(Cut c, Runnable deliver) {
+    if (c == null) {
+      sim.after(delay(), deliver);
+    } else if (c.mode == Mode.HOLD) {
+      c.held.add(deliver);
+    }
+  }
+
+  void cut(Node n, String what, long ms, Mode mode) {
+    Cut c = new Cut(what, sim.now + ms, mode, new ArrayList<>());
+    n.cuts.add(c);
+    sim.after(ms, () -> c.held.forEach(Runnable::run));
+  }
+
+  void cutWorker(Worker w, long ms, Mode mode) {
+    Cut c = new Cut("worker", sim.now + ms, mode, new ArrayList<>());
+    workerCuts.computeIfAbsent(w.name, k -> new ArrayList<>()).add(c);
+    sim.after(ms, () -> c.held.forEach(Runnable::run));
+  }
+
+  private Cut workerCut(Worker w, Node n) {
+    for (Cut c : workerCuts.getOrDefault(w.name, List.of())) {
+      if (c.until > sim.now) {
+        return c;
+      }
+    }
+    return n.cut("workers");
+  }
+
+  private void call(Node from, Output.Call c) {
+    int life = from.life;
+    boolean[] answered = new boolean[1];
+    BiConsumer<Integer, JsonNode> back =
+        (status, body) -> {
+          if (!answered[0] && from.up && from.life == life) {
+            answered[0] = true;
+            from.input(new Input.Answer(c.call(), status, body));
+          }
+        };
+    sim.after(c.timeoutMs(), () -> back.accept(0, Json.parse(null)));
+    String kind =
+        c.target() instanceof Output.Peer
+            ? "peers"
+            : c.target() == Output.Service.STATE ? "state" : "cloud";
+    Cut cut = from.cut(kind);
+    if (cut != null && cut.mode == Mode.REFUSE) {
+      sim.after(delay(), () -> back.accept(503, Json.error("trouble")));
+      return;
+    }
+    if (c.target() instanceof Output.Peer p) {
+      Node to = nodes.get(index(p.label().value()));
+      Cut theirs = to.cut("peers");
+      through(
+          cut != null ? cut : theirs,
+          () -> {
+            if (to.up) {
+              request(
+                  to,
+                  true,
+                  c.method(),
+                  c.path(),
+                  c.body(),
+                  (s, b) -> through(answerCut(from, to), () -> back.accept(s, b)));
+            }
+          });
+      return;
+    }
+    BiConsumer<Integer, JsonNode> reply =
+        (s, b) -> through(from.cut(kind), () -> back.accept(s, b));
+    through(
+        cut,
+        () -> {
+          if (kind.equals("state")) {
+            store.handle(c.method(), c.path(), c.body(), reply);
+          } else {
+            cloud.handle(c.method(), c.path(), c.body(), reply);
+          }
+        });
+  }
+
+  private static Cut answerCut(Node a, Node b) {
+    Cut c = a.cut("peers");
+    return c != null ? c : b.cut("peers");
+  }
+
+  void request(
+      Node to,
+      boolean peer,
+      String method,
+      String path,
+      JsonNode body,
+      BiConsumer<Integer, JsonNode> answer) {
+    if (!to.up) {
+      return;
+    }
+    long id = to.nextReply++;
+    to.replies.put(id, answer);
+    to.input(
+        new Input.Request(id, peer, method, path, body == null ? new byte[0] : Json.bytes(body)));
+  }
+
+  void workerRequest(Worker w, int to, JsonNode body, BiConsumer<Integer, JsonNode> answer) {
+    Node n = nodes.get(to);
+    through(
+        workerCut(w, n),
+        () ->
+            request(
+                n,
+                false,
+                "POST",
+                "/v1/report",
+                body,
+                (s, b) -> through(workerCut(w, n), () -> answer.accept(s, b))));
+  }
+
+  // ---- users ---------------------------------------------------------------------------------
+
+  private JsonNode spec(String id, JobPlan p) {
+    ObjectNode n = Json.object().put("nameId", id).put("jobclass", "c").put("owner", p.team);
+    n.put("shape", "array").put("urgency", p.urgency).put("pieces", p.pieces);
+    n.put("cpus", p.cpus).put("accelerators", 0.0).put("memoryGb", p.mem);
+    n.put("bundle", p.image).put("pullGb", p.pullS);
+    if (p.hosttype == null) {
+      n.putNull("hosttypes");
+    } else {
+      n.putArray("hosttypes").add(p.hosttype);
+    }
+    n.put("site", p.site).put("together", p.together).put("spread", p.spread);
+    n.put("loaner", p.spot).put("guessS", p.runS);
+    n.put("snapshotEveryS", p.saves ? 5.0 : 0.0).put("snapshotS", p.saveS);
+    if (p.due > 0) {
+      n.put("dueS", p.due);
+    } else {
+      n.putNull("dueS");
+    }
+    return n;
+  }
+
+  private void userCall(
+      String what,
+      String id,
+      String method,
+      String path,
+      JsonNode body,
+      int timeoutMs,
+      BiConsumer<Integer, JsonNode> then) {
+    Node n = nodes.get(sim.random.nextInt(nodes.size()));
+    boolean[] over = new boolean[1];
+    BiConsumer<Integer, JsonNode> once =
+        (s, b) -> {
+          if (!over[0]) {
+            over[0] = true;
+            if (s != 0) {
+              checker.answer(what, id, s, b);
+            }
+            then.accept(s, b);
+          }
+        };
+    sim.after(timeoutMs, () -> once.accept(0, Json.parse(null)));
+    through(
+        n.cut("users"),
+        () ->
+            request(n, false, method, path, body, (s, b) -> sim.after(1, () -> once.accept(s, b))));
+  }
+
+  void submit(String id, JobPlan p) {
+    plans.put(id, p);
+    submitted.add(id);
+    submitTry(id, spec(id, p), sim.now + 60_000, true);
+  }
+
+  /** Asks again for a job that may be long over. */
+  void resubmit(String id) {
+    submitTry(id, spec(id, plans.get(id)), sim.now + 60_000, false);
+  }
+
+  private void submitTry(String id, JsonNode body, long until, boolean polls) {
+    userCall(
+        "submit",
+        id,
+        "POST",
+        "/api/jobs",
+        body,
+        5000,
+        (s, b) -> {
+          if (s == 200 || s == 201) {
+            if (polls) {
+              sim.after(sim.random.nextInt(3000), () -> poll(id));
+            }
+          } else if (s != 400 && s != 422 && sim.now < until) {
+            sim.after(1000, () -> submitTry(id, body, until, polls));
+          } else {
+            statuses.put(id, s);
+          }
+        });
+  }
+
+  final Map<String, Integer> statuses = new HashMap<>();
+
+  private void poll(String id) {
+    if (checker.told(id).equals("done") || checker.told(id).equals("withdrawn")) {
+      // Some ask again at any later time.
+      sim.after(15_000, () -> ask(id));
+      return;
+    }
+    ask(id);
+    sim.after(5000, () -> poll(id));
+  }
+
+  void ask(String id) {
+    userCall("poll", id, "GET", "/api/jobs/" + id, null, 2000, (s, b) -> statuses.put(id, s));
+  }
+
+  void cancel(String id) {
+    cancelAsked.add(id);
+    cancelTry(id, sim.now + 60_000);
+  }
+
+  private void cancelTry(String id, long until) {
+    userCall(
+        "cancel",
+        id,
+        "POST",
+        "/api/jobs/" + id + "/abort",
+        Json.object(),
+        5000,
+        (s, b) -> {
+          if (s != 200 && sim.now < until) {
+            sim.after(1000, () -> cancelTry(id, until));
+          }
+        });
+  }
+
+  // ---- who does what -------------------------------------------------------------------------
+
+  Node leader() {
+    String label = store.peek("leader").path("label").asText("");
+    int i = index(label);
+    return i < 0 ? null : nodes.get(i);
+  }
+
+  Node owner(int part) {
+    Node best = null;
+    long top = -1;
+    for (Node n : nodes) {
+      if (n.up) {
+        Epoch e = n.core.owned().get(new PartId(part));
+        if (e != null && e.value() > top) {
+          top = e.value();
+          best = n;
+        }
+      }
+    }
+    return best;
+  }
+
+  /** The machine that runs a task of the job, if any does. */
+  Worker runs(String job) {
+    for (Worker w : workers.values()) {
+      for (Worker.Task t : w.running()) {
+        if (t.job().equals(job)) {
+          return w;
+        }
+      }
+    }
+    return null;
+  }
+}
