--- a/src/main/java/shorecrank/config/Tuning.java
+++ b/src/main/java/shorecrank/config/Tuning.java
@@ -12,5 +12,6 @@
     int roundMs,
     int roundBudgetMs,
     int mergeMs,
+    int parkMs,
     int idleReturnS,
     double clearS) {}
--- a/src/main/java/shorecrank/config/TuningFile.java
+++ b/src/main/java/shorecrank/config/TuningFile.java
@@ -25,6 +25,7 @@
     ROUND_MS("round_ms", 5, 5000, 50),
     ROUND_BUDGET_MS("round_budget_ms", 1, 5000, 15),
     MERGE_MS("merge_ms", 0, 2000, 800),
+    PARK_MS("park_ms", 0, 2000, 250),
     IDLE_RETURN_S("idle_return_s", 1, 86_400, 60),
     CLEAR_S("clear_s", 1, 86_400, 30);
 
@@ -110,6 +111,7 @@
         m.get(Setting.ROUND_MS).intValue(),
         m.get(Setting.ROUND_BUDGET_MS).intValue(),
         m.get(Setting.MERGE_MS).intValue(),
+        m.get(Setting.PARK_MS).intValue(),
         m.get(Setting.IDLE_RETURN_S).intValue(),
         m.get(Setting.CLEAR_S));
   }
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -1,6 +1,5 @@
 package shorecrank.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -213,11 +212,8 @@
     if (s != null) {
       boolean alone = ports.now().since(peerHeardAt) > 4000;
       if (s.valid() || s.inGrace(alone)) {
-        JsonNode answer = s.report(w, s.valid());
-        if (answer != null) {
-          ports.reply(r.reply(), 200, answer);
-          return;
-        }
+        s.report(r.reply(), w, s.valid());
+        return;
       }
       ports.reply(r.reply(), 503, Json.error("not entitled now"));
       return;
--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -13,6 +13,7 @@
 import shorecrank.protocol.Ids.Tenure;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.PeerMessages.HostInfo;
+import shorecrank.protocol.WorkerMessages.Report;
 
 /** A machine lent to a part, as the part's owner sees it. */
 final class Host {
@@ -45,6 +46,12 @@
   int quarantines;
   Mono idleSince = Mono.NEVER;
   int listedTasks;
+  Report report;
+
+  /** The request whose answer waits for a commit; -1 if there is none. */
+  long parked = -1;
+
+  Mono parkedUntil = Mono.NEVER;
 
   final Set<LiveTask> live = new ObjectLinkedOpenHashSet<>();
   final List<Ghost> ghosts = new ArrayList<>();
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -1,6 +1,5 @@
 package shorecrank.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -81,6 +80,8 @@
   private JobId cursor;
   final Renting renting;
   private boolean ended;
+  private final Set<Host> parked = new LinkedHashSet<>();
+  private boolean kicked;
 
   Steward(Ports ports, PartId part, Epoch epoch, Mono grantedAt) {
     this.ports = ports;
@@ -150,6 +151,7 @@
 
   void end(String why) {
     ended = true;
+    answerParked(true);
     ports.info("part %s: epoch %s given up: %s", part, epoch, why);
     ports.count("part.given_up");
   }
@@ -174,10 +176,12 @@
       }
       verdicts();
       if (valid()) {
+        kicked = false;
         place(budget);
         flush();
       }
     }
+    answerParked(false);
   }
 
   private void startOver() {
@@ -186,6 +190,7 @@
     }
     latched.clear();
     for (Host h : hosts.values()) {
+      unpark(h);
       h.known = false;
       h.serial = -1;
     }
@@ -504,6 +509,7 @@
             ports.count("txn.unanswered");
             writeRetryAt = now.plus(80 + ports.random().nextInt(200));
           }
+          answerParked(false);
         });
   }
 
@@ -686,6 +692,7 @@
         h.lent = false;
         h.known = false;
         if (h.empty()) {
+          unpark(h);
           hosts.remove(h.name);
         }
       }
@@ -697,6 +704,7 @@
       Host h = hosts.get(n);
       if (h != null) {
         loseAll(h, "released");
+        unpark(h);
         h.clearGhosts();
         hosts.remove(n);
       }
@@ -757,26 +765,23 @@
     }
   }
 
-  /** The answer to a worker's report; null if we can't act on it. */
-  JsonNode report(Report r, boolean commands) {
+  /** Takes a worker's report in and answers it, now or after the next commit. */
+  void report(long reply, Report r, boolean commands) {
     Mono now = ports.now();
     Host h = host(r.host());
     if (h.info == null) {
       h.info = new HostInfo(r.host(), r.type(), r.zone(), r.spot());
       h.type = catalog.get(r.type());
     }
-    if (r.tenure().compareTo(h.deadTenure) <= 0) {
-      // This session's tasks were given up as surely gone; a report of it can only be late.
-      return null;
-    }
     int cmp = r.tenure().compareTo(h.tenure);
-    if (cmp < 0 || (cmp == 0 && r.serial() <= h.serial)) {
+    boolean late = cmp < 0 || (cmp == 0 && r.serial() <= h.serial);
+    // Of a session whose tasks were given up as surely gone, a report can only be late.
+    if (late || r.tenure().compareTo(h.deadTenure) <= 0 || r.epoch().above(epoch)) {
       ports.count("report.late");
-      return null;
-    }
-    if (r.epoch().above(epoch)) {
-      return null;
+      ports.reply(reply, 503, Json.error("not entitled, or the report is late"));
+      return;
     }
+    unpark(h);
     h.lastHeard = now;
     if (h.firstHeard == Mono.NEVER) {
       h.firstHeard = now;
@@ -787,7 +792,8 @@
     }
     if (stage != Stage.READY) {
       h.tenure = r.tenure();
-      return WorkerMessages.answer(epoch, List.of());
+      ports.reply(reply, 200, WorkerMessages.answer(epoch, List.of()));
+      return;
     }
     if (cmp > 0) {
       h.images.clear();
@@ -795,17 +801,73 @@
     h.tenure = r.tenure();
     h.serial = r.serial();
     h.noticed = r.noticed();
-    List<Order> orders = new ArrayList<>();
-    takeIn(h, r, orders, commands);
+    boolean freed = takeIn(h, r);
+    h.report = r;
     h.known = true;
     if (!h.empty() || h.listedTasks > 0) {
       h.idleSince = now;
     }
-    return WorkerMessages.answer(epoch, commands ? orders : List.of());
+    if (!commands) {
+      ports.reply(reply, 200, WorkerMessages.answer(epoch, List.of()));
+      return;
+    }
+    if (freed && ports.tuning.parkMs() > 0) {
+      // What has just come free can be used again in this very answer, once that is written.
+      h.parked = reply;
+      h.parkedUntil = now.plus(ports.tuning.parkMs());
+      parked.add(h);
+      kicked = true;
+    } else {
+      ports.reply(reply, 200, WorkerMessages.answer(epoch, orders(h)));
+    }
   }
 
-  private void takeIn(Host h, Report r, List<Order> orders, boolean commands) {
-    Mono now = ports.now();
+  /** Answers what waited for a commit: because it has come, or because it takes too long. */
+  private void answerParked(boolean all) {
+    if (parked.isEmpty()) {
+      return;
+    }
+    for (Host h : new ArrayList<>(parked)) {
+      if (all || !ports.now().before(h.parkedUntil) || settled(h)) {
+        parked.remove(h);
+        long reply = h.parked;
+        h.parked = -1;
+        ports.reply(
+            reply, 200, WorkerMessages.answer(epoch, valid() && !ended ? orders(h) : List.of()));
+      }
+    }
+  }
+
+  /** Nothing about the machine waits for a write. */
+  private boolean settled(Host h) {
+    if (kicked) {
+      return false;
+    }
+    for (LiveTask l : h.live) {
+      if (!l.committed()) {
+        return false;
+      }
+    }
+    for (TaskReport t : h.report.tasks()) {
+      Job j = t.state() == TaskState.EXITED ? jobs.get(t.run().job()) : null;
+      if (j != null && j.inFlight && j.exits.containsKey(t.run())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void unpark(Host h) {
+    if (h.parked >= 0) {
+      parked.remove(h);
+      ports.reply(h.parked, 503, Json.error("superseded by a later report"));
+      h.parked = -1;
+    }
+  }
+
+  /** What a report says goes into the picture; true if it frees anything. */
+  private boolean takeIn(Host h, Report r) {
+    boolean freed = false;
     h.clearGhosts();
     h.listedTasks = 0;
     Set<LiveTask> unlisted = new LinkedHashSet<>(h.live);
@@ -813,61 +875,100 @@
       JobId id = t.run().job();
       Job j = jobs.get(id);
       LiveTask l = j == null ? null : j.live.get(t.run().index());
-      boolean match =
-          l != null
-              && l.host == h
-              && l.attempt.equals(t.run().attempt())
-              && l.tenure.equals(r.tenure());
       if (t.state() != TaskState.EXITED) {
         h.listedTasks++;
       }
-      if (match) {
+      if (l != null
+          && l.host == h
+          && l.attempt.equals(t.run().attempt())
+          && l.tenure.equals(r.tenure())) {
         unlisted.remove(l);
-        running(h, l, t, orders, r);
-        continue;
-      }
-      if (latched.contains(id) || (j != null && !j.claimed && j.epoch.value() > 0)) {
-        // Not ours, or not yet: nothing is commanded for it.
-        if (j != null && t.state() != TaskState.EXITED) {
-          h.addGhost(j, t.run().index());
-        }
-        continue;
-      }
-      if (t.state() == TaskState.EXITED) {
-        Long recorded = j == null ? null : j.exits.get(t.run());
-        if (recorded == null || recorded <= j.committedSeq) {
-          // Reaped only once no record names it: a repeated start would run it anew.
-          orders.add(new Forget(t.run()));
-        }
-        continue;
-      }
-      // An attempt that no record names: off with it, and nothing of it elsewhere meanwhile.
-      if (j != null && t.run().index() < j.spec.tasks()) {
+        freed |= t.state() == TaskState.EXITED;
+        running(h, l, t);
+      } else if (t.state() != TaskState.EXITED && j != null && t.run().index() < j.spec.tasks()) {
+        // An attempt that no record of ours names: nothing of that task starts elsewhere meanwhile.
         h.addGhost(j, t.run().index());
       }
-      orders.add(new Stop(t.run(), 0));
-      ports.info("machine %s: unexpected %s stopped", h.name, t.run());
     }
     for (LiveTask l : unlisted) {
       if (l.tenure.compareTo(r.tenure()) < 0) {
         lose(l);
+        freed = true;
       } else if (!l.committed() || !l.job.claimed) {
         continue;
       } else if (l.seen) {
         // It left the list without a reap of ours: only a new session does that.
         ports.error("machine %s: %s vanished", h.name, l.run());
         lose(l);
-      } else if (l.job.aborted || l.revoked || h.noticed || h.retiring) {
+      } else if (h.confirmed && (l.job.aborted || l.revoked || h.noticed || h.retiring)) {
         // The worker executes what an answer says or drops it whole, and this report is younger
         // than all earlier answers: what it does not list was never started and never will be.
         lose(l);
-      } else if (commands) {
+        freed = true;
+      }
+    }
+    return freed;
+  }
+
+  /** What the worker is told, from its last report and what is committed by now. */
+  private List<Order> orders(Host h) {
+    List<Order> orders = new ArrayList<>();
+    Set<LiveTask> listed = new HashSet<>();
+    for (TaskReport t : h.report.tasks()) {
+      JobId id = t.run().job();
+      Job j = jobs.get(id);
+      if (latched.contains(id) || (j != null && !j.claimed && j.epoch.value() > 0)) {
+        // Not ours, or not yet: nothing is commanded for it.
+        if (j != null && j.live.containsKey(t.run().index())) {
+          listed.add(j.live.get(t.run().index()));
+        }
+        continue;
+      }
+      LiveTask l = j == null ? null : j.live.get(t.run().index());
+      if (l != null && l.host == h && l.attempt.equals(t.run().attempt())) {
+        listed.add(l);
+        stop(h, l, t, orders);
+      } else if (t.state() != TaskState.EXITED) {
+        orders.add(new Stop(t.run(), 0));
+        ports.info("machine %s: unexpected %s stopped", h.name, t.run());
+      } else {
+        Long recorded = j == null ? null : j.exits.get(t.run());
+        if (recorded == null || recorded <= j.committedSeq) {
+          // Reaped only once no record names it: a repeated start would run it anew.
+          orders.add(new Forget(t.run()));
+        }
+      }
+    }
+    for (LiveTask l : h.live) {
+      if (!l.seen
+          && !listed.contains(l)
+          && l.committed()
+          && l.job.claimed
+          && l.tenure.equals(h.tenure)
+          && !l.job.aborted
+          && !l.revoked
+          && !h.noticed
+          && !h.retiring) {
         orders.add(new Start(l.run()));
       }
     }
+    return orders;
+  }
+
+  private void stop(Host h, LiveTask l, TaskReport t, List<Order> orders) {
+    Job j = l.job;
+    if (j.aborted) {
+      orders.add(new Stop(l.run(), 0));
+    } else if (t.state() == TaskState.FLUSHING) {
+      return;
+    } else if (l.revoked || h.retiring) {
+      orders.add(new Stop(l.run(), j.spec.saveS() + 1));
+    } else if (h.noticed && j.spec.checkpointS() > 0) {
+      orders.add(new Stop(l.run(), Math.max(j.spec.saveS(), h.report.noticeS())));
+    }
   }
 
-  private void running(Host h, LiveTask l, TaskReport t, List<Order> orders, Report r) {
+  private void running(Host h, LiveTask l, TaskReport t) {
     Mono now = ports.now();
     Job j = l.job;
     l.seen = true;
@@ -890,16 +991,6 @@
         return;
       }
     }
-    if (!j.claimed) {
-      return;
-    }
-    if (j.aborted) {
-      orders.add(new Stop(l.run(), 0));
-    } else if (t.state() != TaskState.FLUSHING && (l.revoked || h.retiring)) {
-      orders.add(new Stop(l.run(), j.spec.saveS() + 1));
-    } else if (h.noticed && t.state() != TaskState.FLUSHING && j.spec.checkpointS() > 0) {
-      orders.add(new Stop(l.run(), Math.max(j.spec.saveS(), r.noticeS())));
-    }
   }
 
   private void exited(Host h, LiveTask l, TaskReport t) {
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -57,6 +57,11 @@
     return true;
   }
 
+  /** A burst of acceptances may use a third of what the state service takes in a second. */
+  private double debt() {
+    return ports.config.state().writeRps() / 3;
+  }
+
   void submit(long reply, byte[] body) {
     JobSpec spec;
     try {
@@ -82,7 +87,7 @@
     if (busy(reply)) {
       return;
     }
-    if (!ports.writes.tryTake(2, ports.now())) {
+    if (!ports.writes.tryTakeFirst(2, debt(), ports.now())) {
       later(reply, "busy");
       return;
     }
@@ -261,7 +266,7 @@
 
   /** Epoch and writer stay the owner's; only the mark is ours, behind the record's stamp. */
   private void mark(long reply, JobId id, Found.Unfinished u, int tries) {
-    if (!ports.writes.tryTake(2, ports.now())) {
+    if (!ports.writes.tryTakeFirst(2, debt(), ports.now())) {
       later(reply, "busy");
       return;
     }
