--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -186,6 +186,11 @@
     return !ghosts.isEmpty();
   }
 
+  /** What is still to be done, in processor seconds by the owner's estimate. */
+  double workLeft() {
+    return (spec.tasks() - done.cardinality()) * Math.max(0.1, spec.cpus()) * spec.estimateS();
+  }
+
   void touch(Urgency u, Mono now) {
     if (dirty == Urgency.NONE) {
       dirtySince = now;
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -1071,7 +1071,7 @@
 
   static Comparator<Job> order() {
     return Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
-        .thenComparingLong(j -> j.acceptedAtMs)
+        .thenComparingDouble(Job::workLeft)
         .thenComparing(Job::id);
   }
 
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -395,8 +395,7 @@
       int timeoutMs,
       BiConsumer<Integer, JsonNode> then) {
     // The load balancer skips a node it has found dead.
-    List<Node> healthy =
-        nodes.stream().filter(x -> x.up || sim.now - x.downSince < 3000).toList();
+    List<Node> healthy = nodes.stream().filter(x -> x.up || sim.now - x.downSince < 3000).toList();
     List<Node> among = healthy.isEmpty() ? nodes : healthy;
     Node n = among.get(sim.random.nextInt(among.size()));
     boolean[] over = new boolean[1];
