--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -71,11 +71,30 @@
   }
 
   void remove(LiveTask t) {
-    if (live.remove(t)) {
+    if (live.remove(t) && !t.yielded) {
       use(t.job.spec, -1);
     }
   }
 
+  /** The task's room is given to another, which starts only after it has been stopped. */
+  void yield(LiveTask t) {
+    if (!t.yielded) {
+      t.yielded = true;
+      use(t.job.spec, -1);
+    }
+  }
+
+  boolean fitsWith(JobSpec s, double moreCpus, double moreGpus, double moreMemoryGb) {
+    return type != null
+        && s.cpus() <= type.cpus() - cpus + moreCpus + 1e-9
+        && s.gpus() <= type.gpus() - gpus + moreGpus + 1e-9
+        && s.memoryGb() <= type.memoryGb() - memoryGb + moreMemoryGb + 1e-9;
+  }
+
+  double fetchSeconds(JobSpec s) {
+    return images.contains(s.image()) ? 0 : s.imageGb() / Math.max(0.01, type.fetchGbPerS());
+  }
+
   void addGhost(Job j, int index) {
     ghosts.add(new Ghost(j, index));
     j.ghost(index);
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -38,9 +38,9 @@
 
     boolean seen;
     TaskState state;
-    boolean stopping;
     boolean revoked;
-    Mono placedAt;
+    boolean yielded;
+    final Mono placedAt;
     Mono runningSince;
 
     LiveTask(Job job, int index, Host host, Tenure tenure, Attempt attempt, long seq, Mono at) {
@@ -57,6 +57,11 @@
       return new TaskRun(job.spec.id(), index, attempt);
     }
 
+    /** Seconds of work that stopping it now throws away. */
+    double lost(Mono now) {
+      return runningSince == null ? 0 : now.since(runningSince) / 1000.0;
+    }
+
     boolean committed() {
       return seq <= job.committedSeq;
     }
@@ -78,6 +83,10 @@
   long tries;
   boolean aborted;
   boolean claimed;
+
+  /** Counts as unclaimed for its team's limit, although nobody had claimed it yet. */
+  boolean claimFirst;
+
   boolean noticed;
   boolean inFlight;
   boolean rereading;
--- a/src/main/java/shorecrank/coordination/Placement.java
+++ b/src/main/java/shorecrank/coordination/Placement.java
@@ -34,10 +34,7 @@
 
   /** What a placement there costs, in seconds; less is better. */
   static double cost(JobSpec s, Host h, int wanted) {
-    double c = 0;
-    if (!h.images.contains(s.image())) {
-      c += s.imageGb() / Math.max(0.01, h.type.fetchGbPerS());
-    }
+    double c = h.fetchSeconds(s);
     int n = Math.min(wanted, h.fits(s));
     double left = h.freeCpus() - n * s.cpus();
     // Best fit: little left over, so that large tasks find room elsewhere.
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -239,7 +239,12 @@
             if (r == null) {
               ports.error("record %s makes no sense, left alone", e.key());
             } else if (PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
-              add(r, e.stamp());
+              Job j = add(r, e.stamp());
+              if (limited(ports.config.teams().get(r.spec().team())) && !j.claimed) {
+                // A write that the last owner sent in time may still place tasks of it.
+                j.claimFirst = true;
+                j.touch(Urgency.NOW, ports.now());
+              }
             }
           }
           if (StoreMessages.more(body) && !last.isEmpty()) {
@@ -1098,19 +1103,16 @@
     cursor = null;
     boolean allClaimed = true;
     for (Job j : jobs.values()) {
-      allClaimed &= j.claimed || j.epoch.value() == 0;
+      allClaimed &= j.claimed || (j.epoch.value() == 0 && !j.claimFirst);
     }
     for (int i = start; i < waiting.size(); i++) {
-      if (room.isEmpty()) {
-        return;
-      }
       if (budget.spent()) {
         cursor = waiting.get(i).id();
         return;
       }
       Job j = waiting.get(i);
       NodeConfig.Team team = ports.config.teams().get(j.spec.team());
-      if (team != null && (team.cpusMax() > 0 || team.gpusMax() > 0) && !allClaimed) {
+      if (limited(team) && !allClaimed) {
         // Until every record is claimed, a late write of the last owner may add to the team's use.
         continue;
       }
@@ -1118,11 +1120,26 @@
     }
   }
 
+  private static boolean limited(NodeConfig.Team team) {
+    return team != null && (team.cpusMax() > 0 || team.gpusMax() > 0);
+  }
+
   private int quotaRoom(Job j, NodeConfig.Team team) {
     if (team == null) {
       return 0;
     }
-    double[] u = teamUse.getOrDefault(j.spec.team(), new double[2]);
+    if (!limited(team)) {
+      return j.spec.tasks();
+    }
+    double[] u = teamUse.getOrDefault(j.spec.team(), new double[2]).clone();
+    for (Host h : hosts.values()) {
+      for (Host.Ghost g : h.ghosts) {
+        if (g.job().spec.team().equals(j.spec.team())) {
+          u[0] += g.job().spec.cpus();
+          u[1] += g.job().spec.gpus();
+        }
+      }
+    }
     double n = j.spec.tasks();
     if (team.cpusMax() > 0 && j.spec.cpus() > 0) {
       n = Math.min(n, Math.floor((team.cpusMax() - u[0]) / j.spec.cpus() + 1e-9));
@@ -1204,11 +1221,114 @@
         }
       }
     }
+    if (wanted > 0 && !j.spec.spread() && j.backoff == 0 && preempts(j)) {
+      placed |= preempt(j, wanted, index, zone);
+    }
     if (placed) {
       j.touch(Urgency.NOW, ports.now());
     }
   }
 
+  /** Users wait for the start of such a job, so it does not wait for others' ends. */
+  private boolean preempts(Job j) {
+    if (j.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0) {
+      return true;
+    }
+    for (NodeConfig.Objective o : ports.config.objectives()) {
+      if (o.kind().equals("wait") && o.jobClass().equals(j.spec.jobClass())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Makes room by stopping tasks of lower priority that lose the least by it. Only such as exit at
+   * once when stopped: the stop goes before the start in one answer, and so the start finds room.
+   */
+  private boolean preempt(Job j, int wanted, int from, String onlyZone) {
+    boolean placed = false;
+    String zone = onlyZone;
+    int index = from;
+    while (wanted > 0) {
+      Host best = null;
+      List<LiveTask> victims = List.of();
+      double bestCost = Double.MAX_VALUE;
+      for (Host h : hosts.values()) {
+        if (!usable(h)
+            || !h.allowed(j.spec)
+            || j.failedOn.contains(h.name)
+            || (zone != null && !zone.equals(h.info.zone()))) {
+          continue;
+        }
+        List<LiveTask> v = victims(h, j);
+        if (v.isEmpty()) {
+          continue;
+        }
+        double c = h.fetchSeconds(j.spec);
+        for (LiveTask t : v) {
+          c += t.lost(ports.now()) * t.job.spec.cpus() / j.spec.cpus();
+        }
+        if (c < bestCost) {
+          best = h;
+          bestCost = c;
+          victims = v;
+        }
+      }
+      if (best == null) {
+        return placed;
+      }
+      index = j.nextQueued(index);
+      if (index < 0) {
+        return placed;
+      }
+      for (LiveTask t : victims) {
+        t.revoked = true;
+        best.yield(t);
+      }
+      ports.count("task.preempted");
+      Attempt attempt = new Attempt(++j.tries);
+      attach(new LiveTask(j, index, best, best.tenure, attempt, j.seq + 1, ports.now()));
+      placed = true;
+      wanted--;
+      if (j.spec.oneZone()) {
+        zone = best.info.zone();
+      }
+    }
+    return placed;
+  }
+
+  /** The cheapest tasks of lower priority whose end makes room for one task; empty if none do. */
+  private List<LiveTask> victims(Host h, Job j) {
+    List<LiveTask> can = new ArrayList<>();
+    for (LiveTask t : h.live) {
+      if (!t.revoked
+          && t.committed()
+          && t.job.claimed
+          && t.state != TaskState.FLUSHING
+          && t.job.spec.checkpointS() <= 0
+          && t.job.spec.priority().compareTo(j.spec.priority()) > 0) {
+        can.add(t);
+      }
+    }
+    Mono now = ports.now();
+    can.sort(Comparator.<LiveTask>comparingDouble(t -> t.lost(now)).thenComparingInt(t -> t.index));
+    List<LiveTask> take = new ArrayList<>();
+    double cpus = 0;
+    double gpus = 0;
+    double memory = 0;
+    for (LiveTask t : can) {
+      take.add(t);
+      cpus += t.job.spec.cpus();
+      gpus += t.job.spec.gpus();
+      memory += t.job.spec.memoryGb();
+      if (h.fitsWith(j.spec, cpus, gpus, memory)) {
+        return take;
+      }
+    }
+    return List.of();
+  }
+
   // ---- for the leader ------------------------------------------------------------------------
 
   PartBeat beat() {
