--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -40,6 +40,10 @@
   Tenure deadTenure = new Tenure(-1);
   boolean noticed;
   boolean retiring;
+
+  /** More than is needed: nothing new is placed on it, and it goes back once empty. */
+  boolean draining;
+
   Mono quarantinedUntil = Mono.NEVER;
   Mono noRoomUntil = Mono.NEVER;
   int errors;
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -195,6 +195,10 @@
     return !ghosts.isEmpty();
   }
 
+  double ageS(long wallMs) {
+    return (wallMs - acceptedAtMs) / 1000.0;
+  }
+
   /** What is still to be done, in processor seconds by the owner's estimate. */
   double workLeft() {
     return (spec.tasks() - done.cardinality()) * Math.max(0.1, spec.cpus()) * spec.estimateS();
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -1,5 +1,6 @@
 package shorecrank.coordination;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -19,6 +20,9 @@
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
 
+  /** Falling peaks of what was needed lately, the highest first. */
+  private final ArrayDeque<Peak> peaks = new ArrayDeque<>();
+
   Renting(Ports ports, Steward steward) {
     this.ports = ports;
     this.steward = steward;
@@ -48,7 +52,7 @@
     if (many) {
       patience = lease + 60_000;
     }
-    boolean waiting = steward.jobs.values().stream().anyMatch(j -> j.queued() > 0);
+    balance();
     for (Host h : steward.hosts.values()) {
       long quiet = steward.silentMs(h);
       if (!h.reported()) {
@@ -68,11 +72,11 @@
       } else if (h.quarantines > 1 && h.empty() && steward.fresh(h)) {
         h.retiring = true;
         retire.add(h.name);
-      } else if (!waiting
-          && steward.usable(h)
+      } else if (h.draining
           && h.empty()
           && h.listedTasks == 0
-          && now.since(h.idleSince) > ports.tuning.idleReturnS() * 1000L) {
+          && steward.fresh(h)
+          && now.since(h.idleSince) > 2000) {
         h.retiring = true;
         retire.add(h.name);
       } else if (h.retiring) {
@@ -83,6 +87,76 @@
     }
   }
 
+  /**
+   * Keeps what lately was needed at the most, and lets the dearest of the rest run empty; takes
+   * them back before anything is rented.
+   */
+  private void balance() {
+    Mono now = ports.now();
+    double used = 0;
+    double have = 0;
+    List<Host> running = new ArrayList<>();
+    List<Host> draining = new ArrayList<>();
+    for (Host h : steward.hosts.values()) {
+      if (h.type == null || !h.reported() || !steward.fresh(h) || h.retiring || h.noticed) {
+        continue;
+      }
+      used += h.usedCpus();
+      if (h.draining) {
+        draining.add(h);
+      } else {
+        have += h.type.cpus();
+        running.add(h);
+      }
+    }
+    double need = used + queuedNeed();
+    peaks.removeIf(p -> now.since(p.at) > ports.tuning.idleReturnS() * 1000L);
+    peaks.removeIf(p -> p.cpus <= need);
+    peaks.add(new Peak(now, need));
+    double keep = peaks.peekFirst().cpus;
+    Comparator<Host> dear =
+        Comparator.<Host>comparingDouble(h -> h.type.price(h.info.spot()) / h.type.cpus());
+    draining.sort(dear.thenComparing(h -> h.name));
+    for (Host h : draining) {
+      if (have >= keep) {
+        break;
+      }
+      h.draining = false;
+      have += h.type.cpus();
+    }
+    if (now.since(steward.readyAt()) < ports.tuning.idleReturnS() * 1000L) {
+      return;
+    }
+    running.sort(dear.reversed().thenComparing(Host::usedCpus).thenComparing(h -> h.name));
+    for (Host h : running) {
+      if (have - h.type.cpus() < keep) {
+        break;
+      }
+      h.draining = true;
+      have -= h.type.cpus();
+    }
+  }
+
+  private record Peak(Mono at, double cpus) {}
+
+  private double queuedNeed() {
+    double need = 0;
+    for (Job j : steward.jobs.values()) {
+      if (j.queued() > 0 && j.backoff == 0) {
+        need += need(j);
+      }
+    }
+    return need;
+  }
+
+  /** Processors that would clear a job's queue in good time. */
+  private double need(Job j) {
+    int n = j.queued();
+    double parallel =
+        Math.min(n, Math.ceil(n * Math.max(1, j.spec.estimateS()) / ports.tuning.clearS()));
+    return parallel * size(j.spec, steward.catalog());
+  }
+
   /** What the waiting work needs beyond what is there or on its way. */
   List<Want> wants() {
     List<Want> wants = new ArrayList<>();
@@ -90,7 +164,6 @@
       return wants;
     }
     Map<String, HostType> catalog = steward.catalog();
-    double clear = ports.tuning.clearS();
     double free = 0;
     for (Host h : steward.hosts.values()) {
       if (h.type == null || !h.lent || h.retiring || h.noticed) {
@@ -110,8 +183,7 @@
       if (n == 0 || j.backoff > 0) {
         continue;
       }
-      double parallel = Math.min(n, Math.ceil(n * Math.max(1, j.spec.estimateS()) / clear));
-      double cpus = parallel * size(j.spec, catalog);
+      double cpus = need(j);
       needs.put(j, cpus);
       queued.add(j);
       need += cpus;
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -82,6 +82,7 @@
   private boolean ended;
   private final Set<Host> parked = new LinkedHashSet<>();
   private boolean kicked;
+  private Mono readyAt = Mono.NEVER;
 
   Steward(Ports ports, PartId part, Epoch epoch, Mono grantedAt) {
     this.ports = ports;
@@ -129,6 +130,11 @@
     return ports.now().before(validUntil);
   }
 
+  /** Since when the picture is whole. */
+  Mono readyAt() {
+    return readyAt;
+  }
+
   boolean ready() {
     return stage == Stage.READY;
   }
@@ -253,6 +259,7 @@
           }
           loadBusy = false;
           stage = Stage.READY;
+          readyAt = ports.now();
           ports.info(
               "part %s: %d jobs rebuilt at epoch %s, revision %d",
               part, jobs.size(), epoch, watchFrom);
@@ -1051,6 +1058,7 @@
         && h.type != null
         && fresh(h)
         && !h.recall
+        && !h.draining
         && !h.noticed
         && !h.retiring
         && h.quarantinedUntil.before(now)
@@ -1229,17 +1237,28 @@
     }
   }
 
-  /** Users wait for the start of such a job, so it does not wait for others' ends. */
+  /**
+   * Users wait for the start of such a job, so it does not wait for others' ends; but while its aim
+   * leaves time for the command and the image, room may yet come free by itself.
+   */
   private boolean preempts(Job j) {
-    if (j.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0) {
-      return true;
-    }
+    double aim = Double.MAX_VALUE;
+    double age = j.ageS(ports.wallMs());
     for (NodeConfig.Objective o : ports.config.objectives()) {
-      if (o.kind().equals("wait") && o.jobClass().equals(j.spec.jobClass())) {
-        return true;
+      if (o.kind().equals("wait")
+          && o.jobClass().equals(j.spec.jobClass())
+          && (o.withinS() > age || aim == Double.MAX_VALUE)) {
+        aim = Math.min(aim, o.withinS());
       }
     }
-    return false;
+    if (aim == Double.MAX_VALUE) {
+      return j.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0;
+    }
+    double fetch = 0;
+    for (HostType t : catalog.values()) {
+      fetch = Math.max(fetch, j.spec.imageGb() / Math.max(0.01, t.fetchGbPerS()));
+    }
+    return age > aim - fetch - 1.25 * ports.config.workers().reportS() - 2;
   }
 
   /**
@@ -1340,7 +1359,9 @@
       for (Host h : hosts.values()) {
         if (h.recall && h.empty() && h.listedTasks == 0 && fresh(h)) {
           back.add(h.name);
-        } else if (usable(h) && h.empty() && ports.now().since(h.idleSince) > 5000) {
+        } else if ((usable(h) || h.draining)
+            && h.empty()
+            && ports.now().since(h.idleSince) > 5000) {
           spare.add(h.name);
         }
       }
