--- /dev/null
+++ b/src/test/java/shorecrank/daemon/ProcessTest.java
@@ -0,0 +1,289 @@
+package shorecrank.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import shorecrank.protocol.Json;
+
+/** The real process, over loopback, against a small state service and cloud. */
+class ProcessTest {
+  @TempDir Path dir;
+  private final List<Process> started = new ArrayList<>();
+  private HttpServer services;
+
+  @AfterEach
+  void stop() {
+    started.forEach(Process::destroyForcibly);
+    if (services != null) {
+      services.stop(0);
+    }
+  }
+
+  @Test
+  void commandLineMistakesAreOneLineAndStatusTwo() throws Exception {
+    Path bad =
+        Files.writeString(dir.resolve("bad.json"), "{\"label\":\"a\",\"public_addr\":\"x\"}");
+    for (List<String> args :
+        List.of(
+            List.<String>of(),
+            List.of("--colour"),
+            List.of("--config", dir.resolve("none").toString()),
+            List.of("--config", bad.toString()))) {
+      Process p = run(args);
+      String err = new String(p.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertTrue(p.waitFor(20, TimeUnit.SECONDS));
+      assertEquals(2, p.exitValue(), err);
+      assertEquals(1, err.strip().lines().count(), err);
+    }
+    Process help = run(List.of("--help"));
+    String out = new String(help.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertTrue(help.waitFor(20, TimeUnit.SECONDS));
+    assertEquals(0, help.exitValue());
+    assertTrue(out.contains("--settings"), out);
+  }
+
+  @Test
+  void servesUsersAndAWorker() throws Exception {
+    int pub = freePort();
+    int peer = freePort();
+    startServices();
+    int port = services.getAddress().getPort();
+    Path config =
+        Files.writeString(
+            dir.resolve("node.json"),
+            """
+            {"label":"a","location":"z","public_addr":"127.0.0.1:%d","peer_bind":"127.0.0.1:%d",
+             "members":[],"endpoints":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
+             "settings":{"teams":[{"name":"t"}]}}
+            """
+                .formatted(pub, peer, port, port));
+    run(List.of("--config", config.toString()));
+    await(() -> send("GET", pub, "/healthz", null).statusCode() == 200);
+    assertEquals(400, send("POST", pub, "/api/jobs", "{").statusCode());
+    assertEquals(404, send("GET", pub, "/api/jobs/wk-9", null).statusCode());
+    assertEquals(404, send("GET", pub, "/else", null).statusCode());
+    assertEquals(405, send("DELETE", pub, "/api/jobs", null).statusCode());
+    assertEquals(413, send("POST", pub, "/api/jobs", "x".repeat(70_000)).statusCode());
+    assertEquals(400, send("POST", pub, "/v1/report", "{\"host\":7}").statusCode());
+    String job =
+        """
+        {"nameId":"wk-1","jobclass":"c","owner":"%s","shape":"array","urgency":"low","pieces":%s,
+         "cpus":%s,"accelerators":0.0,"memoryGb":1.0,"bundle":"i","pullGb":1.0,"hosttypes":null,
+         "site":null,"together":false,"spread":false,"loaner":true,"guessS":1.0,
+         "snapshotEveryS":0.0,"snapshotS":0.0,"dueS":null,"later":"unknown fields are ignored"}
+        """;
+    assertEquals(422, send("POST", pub, "/api/jobs", job.formatted("nobody", 1, 1.0)).statusCode());
+    assertEquals(422, send("POST", pub, "/api/jobs", job.formatted("t", 1, 99.0)).statusCode());
+    assertEquals(400, send("POST", pub, "/api/jobs", job.formatted("t", 0, 1.0)).statusCode());
+    assertEquals(400, send("POST", pub, "/api/jobs", job.formatted("t", 1, -1.0)).statusCode());
+    String good = job.formatted("t", 1, 1.0);
+    assertEquals(201, send("POST", pub, "/api/jobs", good).statusCode());
+    assertEquals(200, send("POST", pub, "/api/jobs", good).statusCode());
+
+    // A worker by hand: report until told to start, then report the end.
+    int serial = 1;
+    JsonNode start = null;
+    for (int i = 0; i < 60 && start == null; i++) {
+      JsonNode orders = body(report(pub, serial++, "")).path("orders");
+      if (orders.size() > 0) {
+        start = orders.get(0);
+      }
+      Thread.sleep(200);
+    }
+    assertEquals("start", start.path("verb").asText());
+    String done =
+        "{\"piece\":\"wk-1/0\",\"try\":%d,\"phase\":\"exited\",\"cause\":\"done\"}"
+            .formatted(start.path("try").asLong());
+    boolean reaped = false;
+    for (int i = 0; i < 60 && !reaped; i++) {
+      for (JsonNode o : body(report(pub, serial++, done)).path("orders")) {
+        reaped |= o.path("verb").asText().equals("reap");
+      }
+      Thread.sleep(200);
+    }
+    assertTrue(reaped);
+    await(() -> send("GET", pub, "/api/jobs/wk-1", null).body().contains("\"done\""));
+    assertTrue(send("GET", peer, "/metrics", null).body().contains("job.done"));
+  }
+
+  private static JsonNode body(HttpResponse<String> r) {
+    return Json.parse(r.body().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private HttpResponse<String> report(int pub, int serial, String pieces) throws Exception {
+    return send(
+        "POST",
+        pub,
+        "/v1/report",
+        """
+        {"host":"n-1","addr":"127.0.0.1:9","hosttype":"big","site":"z","loaner":false,"tenure":1,
+         "serial":%d,"epoch":0,"reclaimInS":null,"pieces":[%s]}
+        """
+            .formatted(serial, pieces));
+  }
+
+  private interface Check {
+    boolean holds() throws Exception;
+  }
+
+  private static void await(Check c) throws Exception {
+    for (int i = 0; i < 100; i++) {
+      try {
+        if (c.holds()) {
+          return;
+        }
+      } catch (IOException e) {
+        // not up yet
+      }
+      Thread.sleep(200);
+    }
+    assertTrue(c.holds());
+  }
+
+  private Process run(List<String> args) throws IOException {
+    List<String> cmd = new ArrayList<>();
+    cmd.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    Collections.addAll(cmd, "-cp", System.getProperty("java.class.path"), "shorecrank.daemon.Main");
+    cmd.addAll(args);
+    Process p = new ProcessBuilder(cmd).start();
+    started.add(p);
+    return p;
+  }
+
+  private static HttpResponse<String> send(String method, int port, String path, String body)
+      throws IOException, InterruptedException {
+    return HttpClient.newHttpClient()
+        .send(
+            HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .version(HttpClient.Version.HTTP_1_1)
+                .timeout(Duration.ofSeconds(10))
+                .method(
+                    method,
+                    body == null
+                        ? HttpRequest.BodyPublishers.noBody()
+                        : HttpRequest.BodyPublishers.ofString(body))
+                .build(),
+            HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  // ---- a small state service and cloud ---------------------------------------------------------
+
+  private record Item(JsonNode data, long stamp) {}
+
+  private final TreeMap<String, Item> items = new TreeMap<>();
+  private long revision;
+
+  private void startServices() throws IOException {
+    services = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    services.setExecutor(Executors.newCachedThreadPool());
+    services.createContext("/", this::serve);
+    services.start();
+  }
+
+  private void serve(HttpExchange x) throws IOException {
+    JsonNode body = Json.parse(x.getRequestBody().readAllBytes());
+    String path = x.getRequestURI().getPath();
+    String query = x.getRequestURI().getQuery() == null ? "" : x.getRequestURI().getQuery();
+    if (path.equals("/changes")) {
+      try {
+        Thread.sleep(100);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    int[] status = {200};
+    JsonNode answer = answer(path, query, body, status);
+    byte[] out = Json.bytes(answer);
+    x.sendResponseHeaders(status[0], out.length);
+    x.getResponseBody().write(out);
+    x.close();
+  }
+
+  private synchronized JsonNode answer(String path, String query, JsonNode body, int[] status) {
+    ObjectNode n = Json.object();
+    if (path.equals("/catalog")) {
+      ObjectNode t = n.putArray("hosttypes").addObject().put("sku", "big").put("cpus", 4.0);
+      t.put("accelerators", 0).put("memoryGb", 8.0).put("hourly", 1.0).put("spotPrice", 0.5);
+      t.put("fetchGbPerS", 1.0).put("localGb", 9).put("startupS", 9).putArray("sites").add("z");
+    } else if (path.equals("/hosts")) {
+      n.putArray("hosts");
+    } else if (path.equals("/grants")) {
+      n.put("hold", 1);
+    } else if (path.equals("/multi")) {
+      for (JsonNode g : body.path("guards")) {
+        Item i = items.get(g.path("k").asText());
+        if ((i == null ? 0 : i.stamp) != g.path("stamp").asLong()) {
+          status[0] = 409;
+          n.withArray("failed").add(g.path("k").asText());
+        }
+      }
+      if (status[0] == 200) {
+        revision++;
+        for (JsonNode o : body.path("apply")) {
+          if (o.has("write")) {
+            items.put(o.path("write").asText(), new Item(o.path("data"), revision));
+          } else {
+            items.remove(o.path("drop").asText());
+          }
+        }
+      }
+      n.put("ledgerRev", revision);
+    } else if (path.startsWith("/store/")) {
+      Item i = items.get(path.substring(7));
+      if (i == null) {
+        status[0] = 404;
+        n.put("ledgerRev", revision);
+      } else {
+        n.put("k", path.substring(7)).put("stamp", i.stamp).set("data", i.data);
+      }
+    } else if (path.equals("/store") || path.equals("/changes")) {
+      Map<String, String> q = new TreeMap<>();
+      for (String kv : query.split("&")) {
+        q.put(kv.split("=", 2)[0], kv.split("=", 2)[1]);
+      }
+      boolean list = path.equals("/store");
+      long from = list ? -1 : Long.parseLong(q.get("from"));
+      for (Map.Entry<String, Item> e : items.entrySet()) {
+        if (e.getKey().startsWith(q.get("prefix")) && e.getValue().stamp > from) {
+          ObjectNode o = n.withArray(list ? "entries" : "news").addObject();
+          o.put(list ? "k" : "write", e.getKey()).put("stamp", e.getValue().stamp);
+          o.set("data", e.getValue().data);
+        }
+      }
+      n.put("ledgerRev", revision);
+    }
+    return n;
+  }
+}
