--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -324,6 +324,11 @@
       s.gone(a.gone());
       s.renting.blocked(a.blocked());
     }
+    if (a.lent() != null
+        && stewards.values().stream().anyMatch(s -> !s.renting.wants().isEmpty())) {
+      // The leader takes wants only from an owner that knows the last lending: say so at once.
+      beatAt = ports.now().plus(100);
+    }
     ports.gauge("parts.owned", stewards.size());
   }
 
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -16,6 +16,9 @@
 
 /** Which machines a part asks the leader to rent and to return. */
 final class Renting {
+  /** So that one part's hunger does not take all there is of a kind before others ask. */
+  private static final int MAX_AT_ONCE = 25;
+
   private final Ports ports;
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
@@ -223,7 +226,7 @@
       double cover = Math.min(eligible, deficit);
       // A small overhang waits for room, but not for ever: a job no machine can serve needs one.
       double slack = queued.stream().allMatch(this::served) ? 0.25 : 0;
-      int count = (int) Math.min(10, Math.ceil(cover / t.cpus() - slack));
+      int count = (int) Math.min(MAX_AT_ONCE, Math.ceil(cover / t.cpus() - slack));
       if (count > 0) {
         wants.add(new Want(o, count));
         deficit -= count * t.cpus();
