--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import shorecrank.bookkeeping.JobRecord;
 
 /** Watches the rules at every step, from outside the service. */
 final class Checker {
@@ -71,6 +72,31 @@
     }
   }
 
+  /** The design's own order: record first, then command; recorded first, then reaped. */
+  void commanded(Worker w, String piece, long attempt, boolean start) {
+    String job = piece.substring(0, piece.lastIndexOf('/'));
+    int index = Integer.parseInt(piece.substring(piece.lastIndexOf('/') + 1));
+    JobRecord r = JobRecord.read(world.store.peek(JobRecord.LIVE + job));
+    if (r == null) {
+      return;
+    }
+    boolean named = false;
+    for (JobRecord.LiveRange l : r.live()) {
+      named |=
+          l.host().value().equals(w.name)
+              && l.attempt().value() == attempt
+              && l.tenure().value() == w.tenure
+              && index >= l.first()
+              && index < l.first() + l.count()
+              && !r.done().get(index);
+    }
+    if (start && !named) {
+      broken("started before recorded: " + piece + " on " + w.name);
+    } else if (!start && named) {
+      broken("reaped before recorded: " + piece + " on " + w.name);
+    }
+  }
+
   private static String names(Set<Worker> s) {
     StringBuilder b = new StringBuilder();
     s.forEach(w -> b.append(w.name).append(' '));
--- a/src/test/java/shorecrank/sim/Worker.java
+++ b/src/test/java/shorecrank/sim/Worker.java
@@ -272,6 +272,7 @@
     switch (o.path("verb").asText()) {
       case "start" -> {
         if (t == null) {
+          world.checker.commanded(this, piece, attempt, true);
           start(key, piece, attempt);
         }
       }
@@ -291,6 +292,7 @@
       }
       case "reap" -> {
         if (t != null && t.phase.equals("exited")) {
+          world.checker.commanded(this, piece, attempt, false);
           tasks.remove(key);
           changed = true;
         }
