--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -1,8 +1,8 @@
 package shorecrank.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import shorecrank.coordination.Job.LiveTask;
@@ -59,7 +59,11 @@
 
   final Set<LiveTask> live = new ObjectLinkedOpenHashSet<>();
   final List<Ghost> ghosts = new ArrayList<>();
-  final LinkedHashSet<String> images = new LinkedHashSet<>();
+
+  /** Images it should hold, by size, the most lately used last. */
+  private final Object2DoubleLinkedOpenHashMap<String> images =
+      new Object2DoubleLinkedOpenHashMap<>();
+
   private double cpus;
   private double gpus;
   private double memoryGb;
@@ -96,7 +100,7 @@
   }
 
   double fetchSeconds(JobSpec s) {
-    return images.contains(s.image()) ? 0 : s.imageGb() / Math.max(0.01, type.fetchGbPerS());
+    return images.containsKey(s.image()) ? 0 : s.imageGb() / Math.max(0.01, type.fetchGbPerS());
   }
 
   void addGhost(Job j, int index) {
@@ -119,6 +123,22 @@
     memoryGb += sign * s.memoryGb();
   }
 
+  /** A task with this image runs, so the machine holds it; others may have had to go for it. */
+  void holds(JobSpec s) {
+    images.putAndMoveToLast(s.image(), s.imageGb());
+    double sum = 0;
+    for (double gb : images.values()) {
+      sum += gb;
+    }
+    while (type != null && sum > type.cacheGb() && images.size() > 1) {
+      sum -= images.removeFirstDouble();
+    }
+  }
+
+  void holdsNothing() {
+    images.clear();
+  }
+
   boolean empty() {
     return live.isEmpty() && ghosts.isEmpty();
   }
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -808,7 +808,7 @@
       return;
     }
     if (cmp > 0) {
-      h.images.clear();
+      h.holdsNothing();
     }
     h.tenure = r.tenure();
     h.serial = r.serial();
@@ -991,11 +991,7 @@
         if (l.runningSince == null) {
           l.runningSince = now;
         }
-        h.images.remove(j.spec.image());
-        h.images.add(j.spec.image());
-        if (h.images.size() > 64) {
-          h.images.remove(h.images.iterator().next());
-        }
+        h.holds(j.spec);
       }
       case FLUSHING -> {}
       case EXITED -> {
