--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -19,6 +19,9 @@
   /** So that one part's hunger does not take all there is of a kind before others ask. */
   private static final int MAX_AT_ONCE = 25;
 
+  /** Arrivals come in bursts: a quarter more than the last peak stays. */
+  private static final double SPARE = 1.25;
+
   private final Ports ports;
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
@@ -116,7 +119,7 @@
     peaks.removeIf(p -> now.since(p.at) > ports.tuning.idleReturnS() * 1000L);
     peaks.removeIf(p -> p.cpus <= need);
     peaks.add(new Peak(now, need));
-    double keep = peaks.peekFirst().cpus;
+    double keep = peaks.peekFirst().cpus * SPARE;
     Comparator<Host> dear =
         Comparator.<Host>comparingDouble(h -> h.type.price(h.info.spot()) / h.type.cpus());
     draining.sort(dear.thenComparing(h -> h.name));
