--- a/src/main/java/shorecrank/bookkeeping/Budget.java
+++ b/src/main/java/shorecrank/bookkeeping/Budget.java
@@ -40,16 +40,6 @@
     return true;
   }
 
-  /** For what goes before all else: runs up a bounded debt, which later work waits for. */
-  public boolean tryTakeFirst(double n, double debt, Mono now) {
-    refill(now);
-    if (tokens - n < -debt) {
-      return false;
-    }
-    tokens -= n;
-    return true;
-  }
-
   /** After a refusal for excess: what was counted on is not there. */
   public void drain() {
     tokens = Math.min(tokens, 0);
--- a/src/main/java/shorecrank/bookkeeping/JobRecord.java
+++ b/src/main/java/shorecrank/bookkeeping/JobRecord.java
@@ -15,6 +15,7 @@
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.UserMessages.Phase;
+import shorecrank.protocol.UserMessages.Standing;
 
 /**
  * The record of an unfinished job, as it stands in the store.
@@ -38,7 +39,6 @@
 
   public static final String LIVE = "j/";
   public static final String FINAL = "f/";
-  public static final String NOTICE = "n/";
 
   public static String liveKey(JobId id) {
     return LIVE + id.value();
@@ -63,6 +63,10 @@
     return running() > 0 ? Phase.RUNNING : Phase.QUEUED;
   }
 
+  public Standing standing() {
+    return new Standing(phase(), done.cardinality(), aborted ? 0 : running());
+  }
+
   public ObjectNode write() {
     ObjectNode n = Json.object();
     n.put("e", epoch.value()).put("w", writer.value()).put("q", seq).put("t", tries);
@@ -89,6 +93,11 @@
     return n;
   }
 
+  /** Whether no owner has written it yet; a quick look, without reading all of it. */
+  public static boolean isUnclaimed(JsonNode n) {
+    return n != null && n.path("e").asLong(-1) == 0;
+  }
+
   /** Null if it is not such a record. */
   public static JobRecord read(JsonNode n) {
     JobSpec spec;
@@ -140,6 +149,10 @@
 
   /** How a job ended. */
   public record Final(Phase phase, int done) {
+    public Standing standing() {
+      return new Standing(phase, done, 0);
+    }
+
     public static Final read(JsonNode n) {
       return new Final(
           "done".equals(n.path("p").asText()) ? Phase.DONE : Phase.WITHDRAWN, n.path("n").asInt());
--- a/src/main/java/shorecrank/config/NodeConfig.java
+++ b/src/main/java/shorecrank/config/NodeConfig.java
@@ -36,7 +36,8 @@
   /** A maximum of 0 means none. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
-  public record Objective(String kind, String jobClass, double withinS, double share) {}
+  public record Objective(
+      String kind, String jobClass, double withinS, double share, double times) {}
 
   public record Workers(double reportS, double leaseS, double cancelS) {}
 
@@ -86,7 +87,8 @@
               o.path("kind").asText(""),
               o.path("class").asText(""),
               number(o, "within_s", "settings.objectives.", 0, 1e9, 0),
-              number(o, "share", "settings.objectives.", 0, 1e9, 0)));
+              number(o, "share", "settings.objectives.", 0, 1e9, 0),
+              number(o, "times", "settings.objectives.", 0, 1e9, 1)));
     }
     JsonNode w = s.path("workers");
     JsonNode st = s.path("state");
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -1,6 +1,8 @@
 package shorecrank.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +13,7 @@
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.Mono;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
@@ -25,6 +28,7 @@
 import shorecrank.protocol.PeerMessages.OwnerInfo;
 import shorecrank.protocol.PeerMessages.PartBeat;
 import shorecrank.protocol.StoreMessages;
+import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages;
 import shorecrank.protocol.WorkerMessages.Report;
 
@@ -34,6 +38,7 @@
  */
 public final class Core {
   private static final String CATALOG = "catalog";
+  private static final int ASK_MS = 700;
 
   private final Ports ports;
   private final Election election;
@@ -41,9 +46,9 @@
   private final UserDesk desk;
   private final Map<PartId, Steward> stewards = new TreeMap<>();
   private final Map<PartId, OwnerInfo> owners = new TreeMap<>();
-  private final Map<HostName, PartId> lent = new LinkedHashMap<>();
+  private final Map<HostName, Lent> lent = new LinkedHashMap<>();
   private final Map<HostName, HostInfo> seen = new LinkedHashMap<>();
-  private List<Lent> lentList = List.of();
+  private final Map<PartId, Map<JobId, List<Steward.OnStanding>>> questions = new TreeMap<>();
   private long lendVersion = -1;
   private Mono beatAt = new Mono(0);
   private boolean beating;
@@ -60,7 +65,7 @@
     this.ports = new Ports(config, tuning, writer);
     this.election = new Election(ports);
     this.leader = new Leader(ports, election);
-    this.desk = new UserDesk(ports);
+    this.desk = new UserDesk(ports, this::askOwner);
   }
 
   /**
@@ -99,6 +104,7 @@
     for (Steward s : stewards.values()) {
       s.tick(t.budget());
     }
+    sendQuestions();
   }
 
   // ---- requests ------------------------------------------------------------------------------
@@ -157,6 +163,7 @@
   private void peer(Input.Request r, String path) {
     switch (path) {
       case PeerMessages.BEAT -> only("POST", r, () -> peerBeat(r));
+      case PeerMessages.ASK -> only("POST", r, () -> peerAsk(r));
       case PeerMessages.NUDGE ->
           only(
               "POST",
@@ -169,6 +176,73 @@
     }
   }
 
+  private void peerAsk(Input.Request r) {
+    JsonNode n = Json.parse(r.body());
+    Steward s = stewards.get(PeerMessages.askedPart(n));
+    List<JobId> ids = PeerMessages.asked(n);
+    Map<JobId, Standing> told = new HashMap<>();
+    if (s == null || ids.isEmpty()) {
+      ports.reply(r.reply(), 200, PeerMessages.told(told));
+      return;
+    }
+    int[] open = {ids.size()};
+    for (JobId id : ids) {
+      s.ask(
+          id,
+          standing -> {
+            if (standing != null) {
+              told.put(id, standing);
+            }
+            if (--open[0] == 0) {
+              ports.reply(r.reply(), 200, PeerMessages.told(told));
+            }
+          });
+    }
+  }
+
+  /** Asks the owner of a part, here or elsewhere; null if it can't tell. */
+  private void askOwner(PartId part, JobId id, Steward.OnStanding then) {
+    Steward s = stewards.get(part);
+    if (s != null) {
+      s.ask(id, then);
+      return;
+    }
+    OwnerInfo o = owners.get(part);
+    if (o == null || o.label().equals(ports.config.label())) {
+      then.told(null);
+      return;
+    }
+    questions
+        .computeIfAbsent(part, p -> new LinkedHashMap<>())
+        .computeIfAbsent(id, k -> new ArrayList<>(1))
+        .add(then);
+  }
+
+  /** All questions since the last round go to an owner in one message. */
+  private void sendQuestions() {
+    questions.forEach(
+        (part, byId) -> {
+          OwnerInfo o = owners.get(part);
+          List<JobId> ids = byId.keySet().stream().limit(PeerMessages.MAX_ASKED).toList();
+          Map<JobId, List<Steward.OnStanding>> sent = new LinkedHashMap<>(byId);
+          if (o == null) {
+            sent.values().forEach(l -> l.forEach(t -> t.told(null)));
+            return;
+          }
+          ports.peer(
+              o.label(),
+              PeerMessages.ASK,
+              PeerMessages.ask(part, ids),
+              ASK_MS,
+              (status, body) -> {
+                Map<JobId, Standing> told =
+                    status == 200 ? PeerMessages.told(body) : Map.<JobId, Standing>of();
+                sent.forEach((id, l) -> l.forEach(t -> t.told(told.get(id))));
+              });
+        });
+    questions.clear();
+  }
+
   private void peerBeat(Input.Request r) {
     Beat b = PeerMessages.readBeat(Json.parse(r.body()));
     if (b == null) {
@@ -197,8 +271,8 @@
       ports.reply(r.reply(), 400, Json.error("malformed report"));
       return;
     }
-    PartId part = lent.get(w.host());
-    if (part == null) {
+    Lent known = lent.get(w.host());
+    if (known == null) {
       seen.put(w.host(), new HostInfo(w.host(), w.type(), w.zone(), w.spot()));
       beatAt = ports.now().plus(100).before(beatAt) ? ports.now().plus(100) : beatAt;
       NodeLabel l = election.leader();
@@ -208,6 +282,7 @@
           WorkerMessages.elsewhere(l == null || l.equals(ports.config.label()) ? null : l));
       return;
     }
+    PartId part = known.part();
     Steward s = stewards.get(part);
     if (s != null) {
       boolean alone = ports.now().since(peerHeardAt) > 4000;
@@ -298,12 +373,13 @@
         beatAt = ports.now();
       }
     }
-    if (a.lent() != null) {
-      lendVersion = a.lendVersion();
-      lentList = a.lent();
+    boolean news = a.whole() || a.lendVersion() != lendVersion;
+    lendVersion = a.lendVersion();
+    if (a.whole()) {
       lent.clear();
-      a.lent().forEach(l -> lent.put(l.host().name(), l.part()));
     }
+    a.lent().forEach(l -> lent.put(l.host().name(), l));
+    a.off().forEach(lent::remove);
     for (Lease l : a.leases()) {
       // Counted from before the request was sent, so that no delay can lengthen it.
       Mono until = sent.plus(l.ttlMs() - l.ttlMs() / 500 - 20);
@@ -311,21 +387,23 @@
       if (s == null) {
         s = new Steward(ports, l.part(), l.epoch(), ports.now());
         s.catalog(catalog);
-        s.lent(lentList);
+        s.lentAll(lent.values());
         stewards.put(l.part(), s);
       }
       s.lease(l.epoch(), until);
     }
-    ports.ownedShare((double) stewards.size() / ports.tuning.parts());
+    ports.share((double) stewards.size() / ports.tuning.parts(), election.holding());
     for (Steward s : stewards.values()) {
-      if (a.lent() != null) {
-        s.lent(a.lent());
+      if (a.whole()) {
+        s.lentAll(lent.values());
+      } else {
+        a.lent().forEach(s::lent);
+        a.off().forEach(s::notLent);
       }
       s.gone(a.gone());
       s.renting.blocked(a.blocked());
     }
-    if (a.lent() != null
-        && stewards.values().stream().anyMatch(s -> !s.renting.wants().isEmpty())) {
+    if (news && stewards.values().stream().anyMatch(s -> !s.renting.wants().isEmpty())) {
       // The leader takes wants only from an owner that knows the last lending: say so at once.
       beatAt = ports.now().plus(100);
     }
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -21,6 +21,7 @@
 import shorecrank.protocol.Ids.Tenure;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages.TaskState;
 
 /** An unfinished job as its owner sees it: the record plus what is not yet written. */
@@ -87,7 +88,12 @@
   /** Counts as unclaimed for its team's limit, although nobody had claimed it yet. */
   boolean claimFirst;
 
-  boolean noticed;
+  /** What the record with our stamp says; a user is told this while the stamp still holds. */
+  Standing standing;
+
+  /** The latest stamp a watch has shown; above ours, somebody else has written meanwhile. */
+  Stamp seenStamp = Stamp.ABSENT;
+
   boolean inFlight;
   boolean rereading;
   Urgency dirty = Urgency.NONE;
@@ -130,6 +136,7 @@
   /** Takes over all of a record but its live ranges. */
   void adoptHead(JobRecord r, Stamp st) {
     stamp = st;
+    standing = r.standing();
     epoch = r.epoch();
     writer = r.writer();
     committedSeq = seq;
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -1,16 +1,19 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import shorecrank.bookkeeping.Budget;
 import shorecrank.protocol.CloudMessages;
 import shorecrank.protocol.CloudMessages.HostType;
@@ -40,7 +43,11 @@
 final class Leader {
   private static final String EPOCH = "epoch";
   private static final String PART = "part/";
-  private static final String HOST = "host/";
+  private static final String HOSTS = "hosts/";
+
+  /** Machines are written down many to a key: a change a machine would take seconds' budgets. */
+  private static final int SHELVES = 32;
+
   private static final int CALL_MS = 1500;
   private static final int CLOUD_MS = 6000;
 
@@ -69,10 +76,27 @@
     Mono since;
     boolean recall;
     Mono listedAt = Mono.NEVER;
+
+    /** The lending in which it last changed. */
+    long version;
   }
 
+  /** A machine that left the list of those lent. */
+  private record Dropped(long version, HostName name) {}
+
   private record Claim(String name, Offer offer, int count, PartId part) {}
 
+  /** So many claims are under way at once. */
+  private static final int MAX_CLAIMS = 4;
+
+  private static final int SAVE_PAUSE_MS = 1000;
+
+  /** Changes of the lending that are kept; who lags further behind gets all of it. */
+  private static final int KEPT_CHANGES = 3000;
+
+  /** An owner that asks for more of a kind at once asks again. */
+  private static final int MAX_WANTED = 1000;
+
   private final Ports ports;
   private final Election election;
   private final Map<NodeLabel, Node> nodes = new TreeMap<>();
@@ -84,7 +108,12 @@
   private final Set<HostName> toRelease = new LinkedHashSet<>();
   private final Set<HostName> releasing = new LinkedHashSet<>();
   private final ArrayDeque<Claim> claims = new ArrayDeque<>();
-  private final List<Host> unsaved = new ArrayList<>();
+
+  /** Names of claims that may have been carried out. */
+  private final Set<String> tried = new HashSet<>();
+
+  private final Set<Integer> unsaved = new TreeSet<>();
+  private Mono saveAt = new Mono(0);
   private final Budget cloudCalls;
   private Stamp loadedTerm = Stamp.ABSENT;
   private boolean loading;
@@ -93,7 +122,9 @@
   private long epochCounter;
   private boolean minting;
   private boolean saving;
-  private boolean claiming;
+  private int claiming;
+  private final ArrayDeque<Dropped> dropped = new ArrayDeque<>();
+  private long droppedFloor;
   private boolean listing;
   private boolean releasingNow;
   private long claimCount;
@@ -202,7 +233,7 @@
   private void loadHosts(Stamp term, String after) {
     ports.state(
         "GET",
-        StoreMessages.list(HOST, after, 500),
+        StoreMessages.list(HOSTS, after, 500),
         null,
         CALL_MS,
         (status, body) -> {
@@ -213,18 +244,19 @@
           String last = "";
           for (StoreMessages.Entry e : StoreMessages.entries(body)) {
             last = e.key();
-            JsonNode v = e.value();
-            Host h = new Host();
-            h.info =
-                new HostInfo(
-                    new HostName(e.key().substring(HOST.length())),
-                    v.path("type").asText(),
-                    v.path("zone").asText(),
-                    v.path("spot").asBoolean());
-            h.part = new PartId(v.path("part").asInt());
-            h.term = new Epoch(v.path("term").asLong());
-            h.since = ports.now();
-            hosts.put(h.info.name(), h);
+            for (JsonNode v : e.value().path("m")) {
+              Host h = new Host();
+              h.info =
+                  new HostInfo(
+                      new HostName(v.path(0).asText()),
+                      v.path(1).asText(),
+                      v.path(2).asText(),
+                      v.path(3).asBoolean());
+              h.part = new PartId(v.path(4).asInt());
+              h.term = new Epoch(v.path(5).asLong());
+              h.since = ports.now();
+              hosts.put(h.info.name(), h);
+            }
           }
           if (StoreMessages.more(body) && !last.isEmpty()) {
             loadHosts(term, last);
@@ -235,16 +267,19 @@
             loadedTerm = term;
             nodes.clear();
             claims.clear();
+            tried.clear();
             unsaved.clear();
             toRelease.clear();
             releasing.clear();
             blockedUntil.clear();
             saving = false;
-            claiming = false;
+            claiming = 0;
             listing = false;
             releasingNow = false;
             minting = false;
             lendVersion = term.value() << 20;
+            dropped.clear();
+            droppedFloor = lendVersion;
             listAt = ports.now();
             ports.info(
                 "term %s: epochs up to %d, %d machines known", term, epochCounter, hosts.size());
@@ -358,20 +393,35 @@
             owners.add(new OwnerInfo(id, p.owner, p.epoch));
           }
         });
-    List<Lent> lent = null;
+    // Who knows a lending of this term gets what changed since, others all of it.
+    boolean whole = b.lendVersion() < droppedFloor || b.lendVersion() > lendVersion;
+    List<Lent> lent = new ArrayList<>();
+    List<HostName> off = new ArrayList<>();
     if (b.lendVersion() != lendVersion) {
-      lent = new ArrayList<>();
       for (Host h : hosts.values()) {
-        lent.add(new Lent(h.info, h.part, now.since(h.since), h.recall));
+        if (whole || h.version > b.lendVersion()) {
+          lent.add(new Lent(h.info, h.part, now.since(h.since), h.recall));
+        }
+      }
+      if (!whole) {
+        for (Dropped d : dropped) {
+          if (d.version > b.lendVersion() && !hosts.containsKey(d.name)) {
+            off.add(d.name);
+          }
+        }
       }
     }
     List<HostName> gone = new ArrayList<>();
-    released.forEach(
-        (h, at) -> {
-          if (now.since(at) < 60_000) {
-            gone.add(h);
-          }
-        });
+    if (whole) {
+      released.forEach(
+          (h, at) -> {
+            if (now.since(at) < 60_000) {
+              gone.add(h);
+            }
+          });
+    } else {
+      off.stream().filter(released::containsKey).forEach(gone::add);
+    }
     List<Blocked> blocked = new ArrayList<>();
     blockedUntil.forEach(
         (o, until) -> {
@@ -385,7 +435,9 @@
         leases,
         owners,
         lendVersion,
+        whole,
         lent,
+        off,
         gone,
         blocked);
   }
@@ -531,42 +583,53 @@
     h.term = p == null ? Epoch.NONE : p.epoch;
     h.since = ports.now();
     hosts.put(info.name(), h);
-    unsaved.add(h);
-    lendVersion++;
+    unsaved.add(shelf(info.name()));
+    h.version = ++lendVersion;
     ports.info("machine %s: lent to part %s under epoch %s", info.name(), part, h.term);
     ports.count("machine.lent");
   }
 
+  private static int shelf(HostName h) {
+    return Math.floorMod(h.value().hashCode(), SHELVES);
+  }
+
   private void saveHosts() {
-    if (saving || unsaved.isEmpty()) {
+    Mono now = ports.now();
+    if (saving || unsaved.isEmpty() || now.before(saveAt)) {
       return;
     }
     int n = Math.min(unsaved.size(), ports.config.state().txnOps());
     n = (int) Math.max(1, Math.min(n, ports.writes.rate() / 2));
-    // Room stays for acceptances, which go first.
-    if (!ports.writes.has(n + 4, ports.now())) {
+    if (!ports.writes.has(n, now)) {
       return;
     }
-    ports.writes.take(n, ports.now());
+    ports.writes.take(n, now);
     saving = true;
-    List<Host> batch = new ArrayList<>(unsaved.subList(0, n));
-    unsaved.subList(0, n).clear();
+    // Machines that come at once are written together.
+    saveAt = now.plus(SAVE_PAUSE_MS);
+    List<Integer> batch = new ArrayList<>();
     StoreMessages.Txn t = new StoreMessages.Txn().guard(Election.KEY, loadedTerm);
-    for (Host h : batch) {
-      String key = HOST + h.info.name();
-      if (hosts.get(h.info.name()) == h) {
-        t.write(
-            key,
-            Json.object()
-                .put("type", h.info.type())
-                .put("zone", h.info.zone())
-                .put("spot", h.info.spot())
-                .put("part", h.part.value())
-                .put("term", h.term.value()));
-      } else if (!hosts.containsKey(h.info.name())) {
-        t.drop(key);
+    Map<Integer, ArrayNode> shelves = new TreeMap<>();
+    for (int shelf : unsaved) {
+      if (batch.size() < n) {
+        batch.add(shelf);
+        shelves.put(shelf, Json.array());
       }
     }
+    unsaved.removeAll(batch);
+    for (Host h : hosts.values()) {
+      ArrayNode on = shelves.get(shelf(h.info.name()));
+      if (on != null) {
+        on.addArray()
+            .add(h.info.name().value())
+            .add(h.info.type())
+            .add(h.info.zone())
+            .add(h.info.spot())
+            .add(h.part.value())
+            .add(h.term.value());
+      }
+    }
+    shelves.forEach((shelf, on) -> t.write(HOSTS + shelf, Json.object().set("m", on)));
     Stamp term = loadedTerm;
     ports.state(
         "POST",
@@ -576,7 +639,8 @@
         (status, body) -> {
           saving = false;
           if (loadedTerm.equals(term) && status != 200) {
-            unsaved.addAll(0, batch);
+            unsaved.addAll(batch);
+            saveAt = ports.now().plus(SAVE_PAUSE_MS);
           }
         });
   }
@@ -603,23 +667,22 @@
           Host x = hosts.get(pb.spare().get(0));
           if (x != null && x.part.equals(pb.part()) && !x.recall) {
             x.recall = true;
-            lendVersion++;
+            x.version = ++lendVersion;
           }
           break;
         }
       }
     }
     // An owner that has not yet seen the last lending would ask for the same machines again.
-    if (knownVersion == lendVersion && claims.isEmpty() && !claiming) {
+    if (knownVersion == lendVersion && claims.isEmpty() && claiming == 0) {
       for (Want w : pb.wants()) {
         Mono until = blockedUntil.get(w.offer());
         if (w.count() > 0 && (until == null || until.before(ports.now()))) {
-          claims.add(
-              new Claim(
-                  "sc-" + loadedTerm + "-" + ++claimCount,
-                  w.offer(),
-                  Math.min(w.count(), CloudMessages.MAX_RENT),
-                  pb.part()));
+          for (int left = Math.min(w.count(), MAX_WANTED); left > 0; ) {
+            int n = Math.min(left, CloudMessages.MAX_RENT);
+            claims.add(new Claim("sc-" + loadedTerm + "-" + ++claimCount, w.offer(), n, pb.part()));
+            left -= n;
+          }
         }
       }
     }
@@ -630,7 +693,7 @@
     PartId to = neediest();
     if (to.equals(from)) {
       x.recall = false;
-      lendVersion++;
+      x.version = ++lendVersion;
       return;
     }
     Part p = parts.get(to);
@@ -656,8 +719,8 @@
     if (!toRelease.isEmpty() && !releasingNow && cloudCalls.tryTake(1, now)) {
       release();
     }
-    if (!claims.isEmpty() && !claiming && cloudCalls.tryTake(1, now)) {
-      claim();
+    while (!claims.isEmpty() && claiming < MAX_CLAIMS && cloudCalls.tryTake(1, now)) {
+      claim(claims.poll());
     }
     if (!listing && !now.before(listAt) && cloudCalls.tryTake(1, now)) {
       listing = true;
@@ -692,11 +755,14 @@
               released.put(h, ports.now());
               Host x = hosts.remove(h);
               if (x != null) {
-                unsaved.add(x);
+                unsaved.add(shelf(h));
               }
+              dropped.add(new Dropped(++lendVersion, h));
               ports.info("machine %s: released", h);
             }
-            lendVersion++;
+            while (dropped.size() > KEPT_CHANGES) {
+              droppedFloor = dropped.poll().version;
+            }
             ports.count("machine.released");
           } else {
             toRelease.addAll(batch);
@@ -705,9 +771,8 @@
         });
   }
 
-  private void claim() {
-    Claim c = claims.peek();
-    claiming = true;
+  private void claim(Claim c) {
+    claiming++;
     Stamp term = loadedTerm;
     ports.cloud(
         "POST",
@@ -718,10 +783,9 @@
           if (!loadedTerm.equals(term)) {
             return;
           }
-          claiming = false;
+          claiming--;
           Mono now = ports.now();
           if (status == 200) {
-            claims.poll();
             List<HostName> got = CloudMessages.rented(body);
             for (HostName h : got) {
               if (!hosts.containsKey(h)) {
@@ -737,20 +801,25 @@
               refusals.remove(c.offer());
             }
           } else if (status == 503 && "no capacity".equals(Json.text(body.path("error")))) {
-            claims.poll();
             block(c.offer());
           } else if (status == 400) {
-            claims.poll();
             ports.error("claim %s: refused as malformed: %s", c.name(), c.offer());
             block(c.offer());
           } else {
             // It may have been carried out: the same name again, and never another for it.
+            claims.addFirst(c);
+            tried.add(c.name());
             cloudRetryAt = now.plus(1000);
           }
         });
   }
 
   private void block(Offer o) {
+    // Those not yet sent would be refused too; their owners ask for something else.
+    claims.removeIf(c -> c.offer().equals(o) && !tried.contains(c.name()));
+    if (ports.now().before(blockedUntil.getOrDefault(o, Mono.NEVER))) {
+      return;
+    }
     int n = refusals.merge(o, 1, Integer::sum);
     long ms = Math.min(40_000, 8_000L << Math.min(n - 1, 3));
     blockedUntil.put(o, ports.now().plus(ms));
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -0,0 +1,206 @@
+package shorecrank.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import shorecrank.config.NodeConfig.Objective;
+import shorecrank.protocol.JobSpec;
+
+/**
+ * In which order waiting jobs get room.
+ *
+ * <p>First come jobs that have waited long without a first task. Then those that can still reach an
+ * aim of their class, by the latest start that reaches it; but where the fleet can't serve them all
+ * in time, the job that asks for the most work, measured by its class and priority, is put back
+ * until the others can be served. The rest follows by priority and least work left.
+ */
+final class Ordering {
+  /** A job without a single task after this long goes first, whatever its size. */
+  static final double BEGIN_S = 120;
+
+  /** Of such a job only a share goes first, so that one large job does not stop all others. */
+  static final int BEGIN_SHARE = 8;
+
+  /** Estimates are often wrong by half: a job is given up on only when half of it is too long. */
+  private static final double DOUBT = 0.5;
+
+  /** Tasks of a job differ, and its last one counts. */
+  private static final double LAST_TASK = 1.3;
+
+  private record Aim(boolean start, double withinS, double times) {}
+
+  /** One job in one round. */
+  private record Entry(Job job, double latestStartS, double runS, double work, double weight) {}
+
+  private final Ports ports;
+  private final Map<String, List<Aim>> aims = new HashMap<>();
+
+  /** What jobs of a class ask for on average, in processor seconds. */
+  private final Map<String, Double> usualWork = new HashMap<>();
+
+  private final Set<Job> known = new HashSet<>();
+
+  Ordering(Ports ports) {
+    this.ports = ports;
+    for (Objective o : ports.config.objectives()) {
+      List<Aim> l = aims.computeIfAbsent(o.jobClass(), k -> new ArrayList<>());
+      switch (o.kind()) {
+        case "wait" -> l.add(new Aim(true, o.withinS(), 0));
+        case "finished" -> l.add(new Aim(false, o.withinS(), 0));
+        case "deadline" -> l.add(new Aim(false, 0, o.times()));
+        default -> {}
+      }
+    }
+  }
+
+  /** Whether users of the class wait for the start of its tasks. */
+  boolean waitsForStart(JobSpec s) {
+    return aims.getOrDefault(s.jobClass(), List.of()).stream().anyMatch(Aim::start);
+  }
+
+  boolean hasAims(JobSpec s) {
+    return !aims.getOrDefault(s.jobClass(), List.of()).isEmpty() || s.hasDeadline();
+  }
+
+  static boolean overdue(Job j, long wallMs) {
+    return j.tries == 0 && j.doneCount() == 0 && j.ageS(wallMs) > BEGIN_S;
+  }
+
+  /**
+   * Sorts jobs by who gets room first.
+   *
+   * @param fetchGbPerS how fast machines fetch images
+   * @param cpus the fleet's processors
+   * @param soonCpus those on their way
+   * @param soonS when they will be there
+   * @param busyWork processor seconds left of what runs
+   */
+  List<Job> sort(
+      Collection<Job> waiting,
+      double fetchGbPerS,
+      double cpus,
+      double soonCpus,
+      double soonS,
+      double busyWork) {
+    long wall = ports.wallMs();
+    List<Job> first = new ArrayList<>();
+    List<Entry> reachable = new ArrayList<>();
+    List<Job> rest = new ArrayList<>();
+    for (Job j : waiting) {
+      learn(j);
+      if (overdue(j, wall)) {
+        first.add(j);
+        continue;
+      }
+      Entry e = entry(j, fetchGbPerS, wall);
+      if (e == null) {
+        rest.add(j);
+      } else {
+        reachable.add(e);
+      }
+    }
+    first.sort(Comparator.comparingLong((Job j) -> j.acceptedAtMs).thenComparing(Job::id));
+    reachable.sort(
+        Comparator.comparingDouble(Entry::latestStartS).thenComparing(e -> e.job().id()));
+    // Moore and Hodgson: whenever the jobs so far can't all be in time, the largest steps back.
+    PriorityQueue<Entry> kept =
+        new PriorityQueue<>(Comparator.comparingDouble(e -> -e.work() / e.weight()));
+    Set<Job> back = new HashSet<>();
+    double work = busyWork;
+    for (Entry e : reachable) {
+      kept.add(e);
+      work += e.work();
+      while (!kept.isEmpty()
+          && clearS(work, cpus, soonCpus, soonS) > Math.max(0, e.latestStartS()) + e.runS()) {
+        Entry largest = kept.poll();
+        work -= largest.work();
+        back.add(largest.job());
+        if (largest == e) {
+          break;
+        }
+      }
+    }
+    List<Job> order = new ArrayList<>(waiting.size());
+    order.addAll(first);
+    for (Entry e : reachable) {
+      if (back.contains(e.job())) {
+        rest.add(e.job());
+      } else {
+        order.add(e.job());
+      }
+    }
+    rest.sort(
+        Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
+            .thenComparingDouble(Job::workLeft)
+            .thenComparing(Job::id));
+    order.addAll(rest);
+    return order;
+  }
+
+  /** When so much work is done, with what is there and what comes. */
+  private static double clearS(double work, double cpus, double soonCpus, double soonS) {
+    if (work <= cpus * soonS || soonCpus <= 0) {
+      return work / Math.max(1, cpus);
+    }
+    return soonS + (work - cpus * soonS) / (cpus + soonCpus);
+  }
+
+  /** Null if no aim can be reached any more, or there is none. */
+  private Entry entry(Job j, double fetchGbPerS, long wall) {
+    JobSpec s = j.spec;
+    double age = j.ageS(wall);
+    double fetch = s.imageGb() / Math.max(0.01, fetchGbPerS);
+    double command = ports.config.workers().reportS() / 2;
+    double run = Math.max(0.5, s.estimateS());
+    double best = Double.MAX_VALUE;
+    for (Aim a : aims.getOrDefault(s.jobClass(), List.of())) {
+      double latest;
+      if (a.start()) {
+        latest = a.withinS() - fetch - command - age;
+        if (latest < 0) {
+          continue;
+        }
+      } else {
+        if (a.withinS() <= 0 && !s.hasDeadline()) {
+          continue;
+        }
+        double due = a.withinS() > 0 ? a.withinS() : s.deadlineS() * a.times();
+        latest = due - age - fetch - command - run * LAST_TASK;
+        if (due - age < fetch + command + run * DOUBT) {
+          continue;
+        }
+      }
+      best = Math.min(best, latest);
+    }
+    if (best == Double.MAX_VALUE) {
+      return null;
+    }
+    double usual = usualWork.getOrDefault(s.jobClass(), 1.0);
+    double weight =
+        usual
+            * switch (s.priority()) {
+              case PROD -> 4;
+              case URGENT -> 2;
+              case NORMAL -> 1.4;
+              case LOW -> 1;
+            };
+    double queuedWork = j.queued() * Math.max(0.1, s.cpus()) * (run + fetch);
+    return new Entry(j, best, run * LAST_TASK + fetch + command, queuedWork, weight);
+  }
+
+  private void learn(Job j) {
+    if (known.add(j)) {
+      usualWork.merge(j.spec.jobClass(), Math.max(1, j.workLeft()), (a, b) -> a + 0.1 * (b - a));
+    }
+  }
+
+  void forget(Job j) {
+    known.remove(j);
+  }
+}
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -28,6 +28,9 @@
   final Budget requests;
   final Budget writes;
 
+  /** Changes that users wait for: these may use all that the state service takes. */
+  final Budget userWrites;
+
   private final Long2ObjectOpenHashMap<Pending> calls = new Long2ObjectOpenHashMap<>();
   private long nextCall = 1;
   private long lives;
@@ -43,14 +46,19 @@
     this.writer = writer;
     this.requests = new Budget(config.state().rps());
     this.writes = new Budget(config.state().writeRps());
-    ownedShare(0);
+    this.userWrites = new Budget(config.state().writeRps());
+    share(0, false);
   }
 
-  /** Bounds hold per process, with room for the others' share of the state service. */
-  void ownedShare(double owned) {
+  /**
+   * Bounds hold per process, with room for the others' share of the state service. What users wait
+   * for is not bound by the share: it comes in bursts, at one controller more than at others, and
+   * the state service itself says when it is too much.
+   */
+  void share(double owned, boolean leading) {
     int n = Math.max(1, config.members().size() + 1);
     requests.rate(config.state().rps() * (0.55 / n + 0.4 * owned));
-    writes.rate(config.state().writeRps() * (0.35 / n + 0.6 * owned));
+    writes.rate(config.state().writeRps() * (0.1 / n + 0.65 * owned + (leading ? 0.1 : 0)));
   }
 
   void begin(Mono now, long wallMs, long entropy) {
@@ -84,6 +92,10 @@
 
   void state(String method, String path, JsonNode body, int timeoutMs, OnAnswer then) {
     requests.take(1, now);
+    count("state.requests");
+    if (body != null && body.has("apply")) {
+      count("state.writes", body.path("apply").size());
+    }
     call(Output.Service.STATE, method, path, body, timeoutMs, then);
   }
 
@@ -146,7 +158,11 @@
   }
 
   void count(String metric) {
-    out.add(new Output.Count(metric, 1));
+    count(metric, 1);
+  }
+
+  void count(String metric, long by) {
+    out.add(new Output.Count(metric, by));
   }
 
   void gauge(String metric, double v) {
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -16,9 +16,6 @@
 
 /** Which machines a part asks the leader to rent and to return. */
 final class Renting {
-  /** So that one part's hunger does not take all there is of a kind before others ask. */
-  private static final int MAX_AT_ONCE = 25;
-
   /** Arrivals come in bursts: a quarter more than the last peak stays. */
   private static final double SPARE = 1.25;
 
@@ -210,37 +207,47 @@
         .filter(h -> h.info != null)
         .forEach(h -> perZone.merge(h.info.zone(), 1, Integer::sum));
     offers.sort(
-        Comparator.<Offer>comparingDouble(
-                o -> catalog.get(o.type()).price(o.spot()) / catalog.get(o.type()).cpus())
+        Comparator.<Offer>comparingDouble(this::perCpu)
             .thenComparing(o -> perZone.getOrDefault(o.zone(), 0))
             .thenComparing(Offer::toString));
-    for (Offer o : offers) {
-      Mono until = blocked.get(o);
-      if (until != null && ports.now().before(until)) {
-        continue;
+    double slack = queued.stream().allMatch(this::served) ? 0.25 : 0;
+    offers.removeIf(
+        o -> {
+          Mono until = blocked.get(o);
+          return until != null && ports.now().before(until);
+        });
+    for (int i = 0; i < offers.size() && deficit > 0; ) {
+      // Zones at one price share alike: less is lost when one of them fails or is used up.
+      int alike = i + 1;
+      while (alike < offers.size() && perCpu(offers.get(alike)) <= perCpu(offers.get(i)) + 1e-9) {
+        alike++;
       }
-      HostType t = catalog.get(o.type());
-      double eligible = 0;
-      for (Job j : queued) {
-        if (Placement.allowed(j.spec, o, t)) {
-          eligible += needs.get(j);
+      for (; i < alike; i++) {
+        Offer o = offers.get(i);
+        HostType t = catalog.get(o.type());
+        double eligible = 0;
+        for (Job j : queued) {
+          if (Placement.allowed(j.spec, o, t)) {
+            eligible += needs.get(j);
+          }
         }
-      }
-      double cover = Math.min(eligible, deficit);
-      // A small overhang waits for room, but not for ever: a job no machine can serve needs one.
-      double slack = queued.stream().allMatch(this::served) ? 0.25 : 0;
-      int count = (int) Math.min(MAX_AT_ONCE, Math.ceil(cover / t.cpus() - slack));
-      if (count > 0) {
-        wants.add(new Want(o, count));
-        deficit -= count * t.cpus();
-        if (deficit <= 0) {
-          break;
+        double cover = Math.min(eligible, deficit / (alike - i));
+        // A small overhang waits for room, but not for ever: a job no machine can serve needs one.
+        int count = (int) Math.ceil(cover / t.cpus() - slack);
+        if (count > 0) {
+          wants.add(new Want(o, count));
+          deficit -= count * t.cpus();
         }
       }
     }
     return wants;
   }
 
+  private double perCpu(Offer o) {
+    HostType t = steward.catalog().get(o.type());
+    return t.price(o.spot()) / t.cpus();
+  }
+
   private boolean served(Job j) {
     for (Host h : steward.hosts.values()) {
       if (h.lent && !h.retiring && !h.noticed && h.allowed(j.spec)) {
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -1,11 +1,14 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +34,7 @@
 import shorecrank.protocol.PeerMessages.PartBeat;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Phase;
+import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages;
 import shorecrank.protocol.WorkerMessages.Forget;
 import shorecrank.protocol.WorkerMessages.Order;
@@ -46,6 +50,7 @@
   private static final int CALL_MS = 2000;
   private static final int MAX_IN_FLIGHT = 3;
   private static final int TXN_BYTES = 56 * 1024;
+  private static final int WATCH_PAUSE_MS = 250;
 
   private enum Stage {
     LOADING,
@@ -79,7 +84,15 @@
   private Mono writeRetryAt = Mono.NEVER;
   private JobId cursor;
   final Renting renting;
-  private boolean ended;
+  private final Ordering ordering;
+  private boolean closed;
+
+  /** Jobs that ended here: what never changes again needs no look at the store. */
+  private final Cache<JobId, Standing> ended =
+      Caffeine.newBuilder().maximumSize(2000).executor(Runnable::run).build();
+
+  private final Map<JobId, List<OnStanding>> asked = new LinkedHashMap<>();
+  private boolean asking;
   private final Set<Host> parked = new LinkedHashSet<>();
   private boolean kicked;
   private Mono readyAt = Mono.NEVER;
@@ -91,6 +104,7 @@
     this.firstEpoch = epoch;
     this.grantedAt = grantedAt;
     this.renting = new Renting(ports, this);
+    this.ordering = new Ordering(ports);
     ports.info("part %s: taken over at epoch %s", part, epoch);
     ports.count("part.takeover");
   }
@@ -156,8 +170,10 @@
   }
 
   void end(String why) {
-    ended = true;
+    closed = true;
     answerParked(true);
+    asked.values().forEach(l -> l.forEach(t -> t.told(null)));
+    asked.clear();
     ports.info("part %s: epoch %s given up: %s", part, epoch, why);
     ports.count("part.given_up");
   }
@@ -165,7 +181,7 @@
   // ---- loading -------------------------------------------------------------------------------
 
   void tick(Input.RoundBudget budget) {
-    if (ended) {
+    if (closed) {
       return;
     }
     if (reload && inFlight == 0) {
@@ -188,6 +204,7 @@
       }
     }
     answerParked(false);
+    answerAsked();
   }
 
   private void startOver() {
@@ -205,14 +222,6 @@
     loadRound++;
   }
 
-  private String noticePrefix() {
-    return JobRecord.NOTICE + part + "/";
-  }
-
-  static String noticeKey(PartId part, JobId id) {
-    return JobRecord.NOTICE + part + "/" + id.value();
-  }
-
   private void load() {
     loadBusy = true;
     watchFrom = -1;
@@ -226,7 +235,7 @@
         null,
         4000,
         (status, body) -> {
-          if (round != loadRound || ended) {
+          if (round != loadRound || closed) {
             return;
           }
           if (status != 200) {
@@ -277,8 +286,6 @@
       }
       // The fence goes up before anything is made of the record.
       j.touch(Urgency.NOW, ports.now());
-    } else {
-      j.noticed = true;
     }
     adoptLive(j, r);
     if (j.aborted) {
@@ -324,6 +331,7 @@
       detach(t);
     }
     jobs.remove(j.id());
+    ordering.forget(j);
   }
 
   private void watch() {
@@ -332,12 +340,12 @@
     int holdMs = 20_000;
     ports.state(
         "GET",
-        StoreMessages.watch(noticePrefix(), watchFrom, holdMs),
+        StoreMessages.watch(JobRecord.LIVE, watchFrom, holdMs),
         null,
         holdMs + 3000,
         (status, body) -> {
           watching = false;
-          if (ended || round != loadRound) {
+          if (closed || round != loadRound) {
             return;
           }
           if (status == 410) {
@@ -349,35 +357,46 @@
             return;
           }
           for (StoreMessages.Change c : StoreMessages.changes(body)) {
-            if (c.value() != null) {
-              notice(new JobId(c.key().substring(noticePrefix().length())), c);
-            }
+            changed(new JobId(c.key().substring(JobRecord.LIVE.length())), c);
           }
           watchFrom = Math.max(watchFrom, StoreMessages.revision(body));
+          // Each opened watch is a request: a few a second carry as many changes as there are.
+          watchRetryAt = ports.now().plus(WATCH_PAUSE_MS);
         });
   }
 
-  private void notice(JobId id, StoreMessages.Change c) {
+  /** A record has changed: a new job, a mark of a user, one of our own writes, or a stranger. */
+  private void changed(JobId id, StoreMessages.Change c) {
     if (latched.contains(id)) {
       return;
     }
     Job j = jobs.get(id);
-    if (c.value().path("x").asBoolean()) {
-      if (j != null && !j.aborted) {
-        reread(j);
+    if (j == null) {
+      // Later changes of a job that is over may still come; only an acceptance begins one.
+      JobRecord r = JobRecord.isUnclaimed(c.value()) ? JobRecord.read(c.value()) : null;
+      if (r != null
+          && r.spec().id().equals(id)
+          && PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
+        add(r, c.stamp());
       }
       return;
     }
-    JobRecord r = JobRecord.read(c.value());
-    // Written together with the record, so the record has the same stamp.
-    if (j == null && r != null && r.spec().id().equals(id)) {
-      add(r, c.stamp());
+    if (c.stamp().after(j.seenStamp)) {
+      j.seenStamp = c.stamp();
+    }
+    lookAgain(j);
+  }
+
+  /** Something newer than what we know was seen, and no write of ours is out that explains it. */
+  private void lookAgain(Job j) {
+    if (j.seenStamp.after(j.stamp) && !j.inFlight) {
+      reread(j);
     }
   }
 
   // ---- records -------------------------------------------------------------------------------
 
-  private record Write(Job job, long seq, boolean last) {}
+  private record Write(Job job, long seq, boolean last, Standing standing) {}
 
   private void flush() {
     Mono now = ports.now();
@@ -443,7 +462,7 @@
   }
 
   private int ops(Job j) {
-    return (over(j) ? 2 : 1) + (j.noticed ? 1 : 0);
+    return over(j) ? 2 : 1;
   }
 
   private int put(StoreMessages.Txn txn, List<Write> batch, Job j) {
@@ -452,14 +471,17 @@
     j.inFlight = true;
     j.seq++;
     boolean last = over(j);
+    Standing standing;
     int bytes;
     if (last) {
       Phase phase = j.complete() && !j.aborted ? Phase.DONE : Phase.WITHDRAWN;
       ObjectNode f = JobRecord.writeFinal(phase, j.doneCount());
       txn.drop(key).write(JobRecord.finalKey(j.id()), f);
       bytes = 200;
+      standing = new Standing(phase, j.doneCount(), 0);
     } else {
-      ObjectNode value = j.record(epoch, ports.writer).write();
+      JobRecord record = j.record(epoch, ports.writer);
+      ObjectNode value = record.write();
       bytes = Json.bytes(value).length;
       double max = ports.config.state().valueKb() * 1024;
       if (bytes > max * 0.95) {
@@ -469,16 +491,15 @@
             detach(t);
           }
         }
-        value = j.record(epoch, ports.writer).write();
+        record = j.record(epoch, ports.writer);
+        value = record.write();
         bytes = Json.bytes(value).length;
       }
+      standing = record.standing();
       j.recordFull = bytes > max * 0.7;
       txn.write(key, value);
     }
-    if (j.noticed) {
-      txn.drop(noticeKey(part, j.id()));
-    }
-    batch.add(new Write(j, j.seq, last));
+    batch.add(new Write(j, j.seq, last, standing));
     j.dirty = Urgency.NONE;
     return bytes + 300;
   }
@@ -492,7 +513,7 @@
         CALL_MS,
         (status, body) -> {
           inFlight--;
-          if (ended) {
+          if (closed) {
             return;
           }
           Mono now = ports.now();
@@ -531,15 +552,17 @@
     j.committedSeq = w.seq;
     j.epoch = epoch;
     j.writer = ports.writer;
+    j.standing = w.standing;
     j.claimed = true;
-    j.noticed = false;
     if (w.last) {
+      ended.put(j.id(), w.standing);
       forget(j);
       ports.info("job %s %s at epoch %s", j.id(), j.aborted ? "withdrawn" : "done", epoch);
       ports.count(j.aborted ? "job.withdrawn" : "job.done");
       return;
     }
     j.exits.values().removeIf(seq -> seq <= j.committedSeq);
+    lookAgain(j);
   }
 
   /** A refused write: what the record says now decides whether the job is still ours. */
@@ -554,7 +577,7 @@
         null,
         CALL_MS,
         (status, body) -> {
-          if (ended || jobs.get(j.id()) != j) {
+          if (closed || jobs.get(j.id()) != j) {
             return;
           }
           if (status == 200) {
@@ -565,6 +588,9 @@
               latch(j, null);
             } else {
               reconcile(j, r, e.stamp());
+              if (jobs.get(j.id()) == j) {
+                lookAgain(j);
+              }
             }
           } else if (status == 404) {
             j.rereading = false;
@@ -591,7 +617,7 @@
         CALL_MS,
         (status, body) -> {
           j.rereading = false;
-          if (ended || jobs.get(j.id()) != j) {
+          if (closed || jobs.get(j.id()) != j) {
             return;
           }
           if (status == 200) {
@@ -620,8 +646,8 @@
       // One of our own writes, by its number; memory already holds all of it. Somebody may have
       // asked to cancel on top of it.
       j.stamp = stamp;
+      j.standing = r.standing();
       j.claimed = r.epoch().value() > 0;
-      j.noticed |= r.aborted();
       j.committedSeq = Math.max(j.committedSeq, r.seq());
       j.exits.values().removeIf(seq -> seq <= j.committedSeq);
       if (r.aborted() && !j.aborted) {
@@ -633,7 +659,7 @@
     if (r.epoch().value() == 0 && j.epoch.value() == 0) {
       // Nobody has claimed it: only a request to cancel changes such a record.
       j.stamp = stamp;
-      j.noticed = true;
+      j.standing = r.standing();
       if (r.aborted() && !j.aborted) {
         abort(j);
       }
@@ -681,32 +707,45 @@
 
   // ---- machines ------------------------------------------------------------------------------
 
-  void lent(Collection<Lent> all) {
-    Set<HostName> mine = new HashSet<>();
+  /** All machines that are lent, to whichever part. */
+  void lentAll(Collection<Lent> all) {
+    Set<HostName> named = new HashSet<>();
     for (Lent l : all) {
-      if (!l.part().equals(part)) {
-        continue;
-      }
-      mine.add(l.host().name());
-      Host h = host(l.host().name());
-      if (h.info == null) {
-        h.info = l.host();
-        h.type = catalog.get(l.host().type());
-      }
-      if (!h.lent) {
-        h.lent = true;
-        h.lentSince = ports.now().plus(-l.ageMs());
+      lent(l);
+      named.add(l.host().name());
+    }
+    for (HostName n : new ArrayList<>(hosts.keySet())) {
+      if (!named.contains(n)) {
+        notLent(n);
       }
-      h.recall = l.recall();
     }
-    for (Host h : new ArrayList<>(hosts.values())) {
-      if (!mine.contains(h.name)) {
-        h.lent = false;
-        h.known = false;
-        if (h.empty()) {
-          unpark(h);
-          hosts.remove(h.name);
-        }
+  }
+
+  void lent(Lent l) {
+    if (!l.part().equals(part)) {
+      notLent(l.host().name());
+      return;
+    }
+    Host h = host(l.host().name());
+    if (h.info == null) {
+      h.info = l.host();
+      h.type = catalog.get(l.host().type());
+    }
+    if (!h.lent) {
+      h.lent = true;
+      h.lentSince = ports.now().plus(-l.ageMs());
+    }
+    h.recall = l.recall();
+  }
+
+  void notLent(HostName name) {
+    Host h = hosts.get(name);
+    if (h != null) {
+      h.lent = false;
+      h.known = false;
+      if (h.empty()) {
+        unpark(h);
+        hosts.remove(h.name);
       }
     }
   }
@@ -845,7 +884,7 @@
         long reply = h.parked;
         h.parked = -1;
         ports.reply(
-            reply, 200, WorkerMessages.answer(epoch, valid() && !ended ? orders(h) : List.of()));
+            reply, 200, WorkerMessages.answer(epoch, valid() && !closed ? orders(h) : List.of()));
       }
     }
   }
@@ -1074,14 +1113,33 @@
         l.add(j);
       }
     }
-    l.sort(order());
-    return l;
+    return l.size() < 2 ? l : sorted(l);
   }
 
-  static Comparator<Job> order() {
-    return Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
-        .thenComparingDouble(Job::workLeft)
-        .thenComparing(Job::id);
+  private List<Job> sorted(List<Job> waiting) {
+    double cpus = 0;
+    double soon = 0;
+    double soonS = 0;
+    double fetch = 0;
+    for (Host h : hosts.values()) {
+      if (h.type == null || !h.lent || h.retiring || h.noticed) {
+        continue;
+      }
+      if (h.reported()) {
+        cpus += h.type.cpus();
+        fetch += h.type.cpus() * h.type.fetchGbPerS();
+      } else {
+        soon += h.type.cpus();
+        double left = h.type.bootS() - ports.now().since(h.lentSince) / 1000.0;
+        soonS += h.type.cpus() * Math.max(1, left);
+      }
+    }
+    double busy = 0;
+    for (Job j : jobs.values()) {
+      busy += j.live.size() * j.spec.cpus() * j.spec.estimateS() / 2;
+    }
+    return ordering.sort(
+        waiting, fetch / Math.max(1, cpus), cpus, soon, soonS / Math.max(1, soon), busy);
   }
 
   private void place(Input.RoundBudget budget) {
@@ -1156,6 +1214,9 @@
 
   private void place(Job j, NodeConfig.Team team, List<Host> room) {
     int wanted = Math.min(j.queued(), quotaRoom(j, team));
+    if (Ordering.overdue(j, ports.wallMs())) {
+      wanted = Math.min(wanted, 1 + j.spec.tasks() / Ordering.BEGIN_SHARE);
+    }
     if (j.backoff > 0) {
       wanted = Math.min(wanted, 1);
     }
@@ -1238,6 +1299,9 @@
    * leaves time for the command and the image, room may yet come free by itself.
    */
   private boolean preempts(Job j) {
+    if (ordering.hasAims(j.spec) && !ordering.waitsForStart(j.spec)) {
+      return false;
+    }
     double aim = Double.MAX_VALUE;
     double age = j.ageS(ports.wallMs());
     for (NodeConfig.Objective o : ports.config.objectives()) {
@@ -1344,6 +1408,89 @@
     return List.of();
   }
 
+  // ---- for users -------------------------------------------------------------------------------
+
+  /** Takes what the store holds of a job now; null if this owner can't tell. */
+  interface OnStanding {
+    void told(Standing standing);
+  }
+
+  /**
+   * Answers where a job stands. One transaction that only compares finds all records in question
+   * unchanged, so no answer is older than one given elsewhere, and a burst of questions costs the
+   * state service few requests.
+   */
+  void ask(JobId id, OnStanding then) {
+    Standing end = ended.getIfPresent(id);
+    if (end != null) {
+      then.told(end);
+    } else if (!ready() || !valid() || !jobs.containsKey(id)) {
+      then.told(null);
+    } else {
+      asked.computeIfAbsent(id, k -> new ArrayList<>(1)).add(then);
+    }
+  }
+
+  private void answerAsked() {
+    if (asked.isEmpty() || asking) {
+      return;
+    }
+    Map<JobId, List<OnStanding>> batch = new LinkedHashMap<>();
+    int max = ports.config.state().txnOps() * 4;
+    for (var i = asked.entrySet().iterator(); i.hasNext() && batch.size() < max; ) {
+      var e = i.next();
+      batch.put(e.getKey(), e.getValue());
+      i.remove();
+    }
+    compare(batch, 2);
+  }
+
+  private void compare(Map<JobId, List<OnStanding>> batch, int tries) {
+    StoreMessages.Txn txn = new StoreMessages.Txn();
+    Map<JobId, Standing> sent = new HashMap<>();
+    for (JobId id : new ArrayList<>(batch.keySet())) {
+      Job j = jobs.get(id);
+      if (j == null || j.standing == null) {
+        batch.remove(id).forEach(t -> t.told(ended.getIfPresent(id)));
+      } else {
+        txn.guard(JobRecord.liveKey(id), j.stamp);
+        sent.put(id, j.standing);
+      }
+    }
+    if (batch.isEmpty()) {
+      return;
+    }
+    asking = true;
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        txn.body(),
+        CALL_MS / 2,
+        (status, body) -> {
+          asking = false;
+          Set<String> failed = status == 409 ? StoreMessages.failed(body) : Set.of();
+          Map<JobId, List<OnStanding>> again = new LinkedHashMap<>();
+          batch.forEach(
+              (id, l) -> {
+                if (status == 200) {
+                  l.forEach(t -> t.told(sent.get(id)));
+                } else if (status == 409
+                    && tries > 1
+                    && !failed.isEmpty()
+                    && !failed.contains(JobRecord.liveKey(id))) {
+                  // Whether a refusal names all that differ is not said: what it does not name
+                  // is compared once more.
+                  again.put(id, l);
+                } else {
+                  l.forEach(t -> t.told(ended.getIfPresent(id)));
+                }
+              });
+          if (!again.isEmpty()) {
+            compare(again, tries - 1);
+          }
+        });
+  }
+
   // ---- for the leader ------------------------------------------------------------------------
 
   PartBeat beat() {
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -1,7 +1,5 @@
 package shorecrank.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.BitSet;
@@ -23,6 +21,7 @@
 import shorecrank.protocol.StoreMessages.Txn;
 import shorecrank.protocol.UserMessages;
 import shorecrank.protocol.UserMessages.Phase;
+import shorecrank.protocol.UserMessages.Standing;
 
 /**
  * The users' requests. Any controller serves them from the store alone, so that no answer is older
@@ -35,10 +34,22 @@
   private final Ports ports;
   private final Cache<JobId, Final> finals =
       Caffeine.newBuilder().maximumSize(5000).executor(Runnable::run).build();
+
+  /** Parts of jobs seen here: whom to ask about them. */
+  private final Cache<JobId, PartId> partOf =
+      Caffeine.newBuilder().maximumSize(5000).executor(Runnable::run).build();
+
+  private final Owners owners;
   private Map<String, HostType> catalog = Map.of();
 
-  UserDesk(Ports ports) {
+  /** Asks the owner of a part, wherever it is. */
+  interface Owners {
+    void ask(PartId part, JobId id, Steward.OnStanding then);
+  }
+
+  UserDesk(Ports ports, Owners owners) {
     this.ports = ports;
+    this.owners = owners;
   }
 
   void catalog(Map<String, HostType> c) {
@@ -46,6 +57,7 @@
   }
 
   private void later(long reply, String why) {
+    ports.count("user.refused." + why.replace(' ', '_'));
     ports.replyLater(reply, 503, Json.error(why), 1);
   }
 
@@ -53,15 +65,10 @@
     if (ports.requests.has(1, ports.now())) {
       return false;
     }
-    later(reply, "busy");
+    later(reply, "state requests are used up");
     return true;
   }
 
-  /** A burst of acceptances may use a third of what the state service takes in a second. */
-  private double debt() {
-    return ports.config.state().writeRps() / 3;
-  }
-
   void submit(long reply, byte[] body) {
     JobSpec spec;
     try {
@@ -84,11 +91,8 @@
           () -> later(reply, "state service unavailable"));
       return;
     }
-    if (busy(reply)) {
-      return;
-    }
-    if (!ports.writes.tryTakeFirst(2, debt(), ports.now())) {
-      later(reply, "busy");
+    if (!ports.userWrites.tryTake(1, ports.now())) {
+      later(reply, "state changes are used up");
       return;
     }
     create(reply, spec, 2);
@@ -113,16 +117,14 @@
     JobRecord r =
         new JobRecord(
             spec, Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, ports.wallMs());
-    ObjectNode value = r.write();
-    PartId part = PartId.of(spec.team(), ports.tuning.parts());
+    partOf.put(spec.id(), PartId.of(spec.team(), ports.tuning.parts()));
     ports.state(
         "POST",
         StoreMessages.MULTI,
         new Txn()
             .guard(JobRecord.liveKey(spec.id()), Stamp.ABSENT)
             .guard(JobRecord.finalKey(spec.id()), Stamp.ABSENT)
-            .write(JobRecord.liveKey(spec.id()), value)
-            .write(Steward.noticeKey(part, spec.id()), value)
+            .write(JobRecord.liveKey(spec.id()), r.write())
             .body(),
         CALL_MS,
         (status, body) -> {
@@ -146,17 +148,25 @@
 
   /** A job as the store has it. */
   private sealed interface Found {
-    record Unfinished(JobRecord record, Stamp stamp) implements Found {}
+    Standing standing();
 
-    record Over(Final end) implements Found {}
+    record Unfinished(JobRecord record, Stamp stamp) implements Found {
+      @Override
+      public Standing standing() {
+        return record.standing();
+      }
+    }
+
+    record Over(Final end) implements Found {
+      @Override
+      public Standing standing() {
+        return end.standing();
+      }
+    }
   }
 
   private void answerKnown(long reply, JobId id, Found f) {
-    if (f instanceof Found.Unfinished u) {
-      ports.reply(reply, 200, UserMessages.phase(id, u.record.phase()));
-    } else if (f instanceof Found.Over o) {
-      ports.reply(reply, 200, UserMessages.phase(id, o.end.phase()));
-    }
+    ports.reply(reply, 200, UserMessages.phase(id, f.standing().phase()));
   }
 
   /**
@@ -181,6 +191,7 @@
             if (r == null) {
               unknown.run();
             } else {
+              partOf.put(id, PartId.of(r.spec().team(), ports.tuning.parts()));
               found.accept(new Found.Unfinished(r, e.stamp()));
             }
           } else if (status == 404) {
@@ -216,26 +227,34 @@
       return;
     }
     JobId id = new JobId(name);
+    PartId part = partOf.getIfPresent(id);
+    if (part == null || finals.getIfPresent(id) != null) {
+      statusFromStore(reply, id);
+      return;
+    }
+    owners.ask(
+        part,
+        id,
+        standing -> {
+          if (standing == null) {
+            statusFromStore(reply, id);
+            return;
+          }
+          ports.reply(reply, 200, UserMessages.status(id, standing));
+        });
+  }
+
+  private void statusFromStore(long reply, JobId id) {
     if (finals.getIfPresent(id) == null && busy(reply)) {
       return;
     }
     lookUp(
         id,
-        found -> ports.reply(reply, 200, status(id, found)),
+        found -> ports.reply(reply, 200, UserMessages.status(id, found.standing())),
         () -> ports.reply(reply, 404, Json.error("no such job")),
         () -> later(reply, "state service unavailable"));
   }
 
-  private static JsonNode status(JobId id, Found f) {
-    if (f instanceof Found.Unfinished u) {
-      JobRecord r = u.record;
-      return UserMessages.status(
-          id, r.phase(), r.done().cardinality(), r.aborted() ? 0 : r.running());
-    }
-    Final end = ((Found.Over) f).end;
-    return UserMessages.status(id, end.phase(), end.done(), 0);
-  }
-
   void cancel(long reply, String name) {
     if (!JobSpec.idOk(name)) {
       ports.reply(reply, 404, Json.error("no such job"));
@@ -266,8 +285,8 @@
 
   /** Epoch and writer stay the owner's; only the mark is ours, behind the record's stamp. */
   private void mark(long reply, JobId id, Found.Unfinished u, int tries) {
-    if (!ports.writes.tryTakeFirst(2, debt(), ports.now())) {
-      later(reply, "busy");
+    if (!ports.userWrites.tryTake(1, ports.now())) {
+      later(reply, "state changes are used up");
       return;
     }
     JobRecord r = u.record;
@@ -282,14 +301,12 @@
             r.tries(),
             true,
             r.acceptedAtMs());
-    PartId part = PartId.of(r.spec().team(), ports.tuning.parts());
     ports.state(
         "POST",
         StoreMessages.MULTI,
         new Txn()
             .guard(JobRecord.liveKey(id), u.stamp)
             .write(JobRecord.liveKey(id), marked.write())
-            .write(Steward.noticeKey(part, id), Json.object().put("x", true))
             .body(),
         CALL_MS,
         (status, body) -> {
--- a/src/main/java/shorecrank/protocol/Ids.java
+++ b/src/main/java/shorecrank/protocol/Ids.java
@@ -94,6 +94,10 @@
   public record Stamp(long value) {
     public static final Stamp ABSENT = new Stamp(0);
 
+    public boolean after(Stamp o) {
+      return value > o.value;
+    }
+
     @Override
     public String toString() {
       return Long.toString(value);
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -5,13 +5,18 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.UserMessages.Phase;
+import shorecrank.protocol.UserMessages.Standing;
 
 /**
  * Messages between controllers: every controller beats to the leader, which answers with leases.
@@ -21,6 +26,10 @@
 
   public static final String BEAT = "/peer/beat";
   public static final String NUDGE = "/peer/nudge";
+  public static final String ASK = "/peer/ask";
+
+  /** So many jobs at most are asked for in one message. */
+  public static final int MAX_ASKED = 400;
 
   /** A machine somebody saw, or that is lent. */
   public record HostInfo(HostName name, String type, String zone, boolean spot) {}
@@ -54,14 +63,18 @@
 
   public record Blocked(Offer offer, long forMs) {}
 
-  /** {@code lent} is null if the asker's version is current. */
+  /**
+   * {@code lent} is all that is lent if {@code whole}, else what changed since the asker's version.
+   */
   public record BeatAnswer(
       long term,
       boolean othersStateOk,
       List<Lease> leases,
       List<OwnerInfo> owners,
       long lendVersion,
+      boolean whole,
       List<Lent> lent,
+      List<HostName> off,
       List<HostName> gone,
       List<Blocked> blocked) {}
 
@@ -137,15 +150,15 @@
           .put("label", o.label.value())
           .put("epoch", o.epoch.value());
     }
-    if (a.lent != null) {
-      ArrayNode hs = n.putArray("lent");
-      for (Lent l : a.lent) {
-        host(hs.addObject(), l.host)
-            .put("part", l.part.value())
-            .put("age", l.ageMs)
-            .put("recall", l.recall);
-      }
+    n.put("whole", a.whole);
+    ArrayNode hs = n.putArray("lent");
+    for (Lent l : a.lent) {
+      host(hs.addObject(), l.host)
+          .put("part", l.part.value())
+          .put("age", l.ageMs)
+          .put("recall", l.recall);
     }
+    names(n.putArray("off"), a.off);
     names(n.putArray("gone"), a.gone);
     ArrayNode bs = n.putArray("blocked");
     for (Blocked b : a.blocked) {
@@ -175,17 +188,14 @@
               new NodeLabel(o.path("label").asText()),
               new Epoch(o.path("epoch").asLong())));
     }
-    List<Lent> lent = null;
-    if (n.path("lent").isArray()) {
-      lent = new ArrayList<>();
-      for (JsonNode h : n.path("lent")) {
-        lent.add(
-            new Lent(
-                host(h),
-                new PartId(h.path("part").asInt()),
-                h.path("age").asLong(),
-                h.path("recall").asBoolean()));
-      }
+    List<Lent> lent = new ArrayList<>();
+    for (JsonNode h : n.path("lent")) {
+      lent.add(
+          new Lent(
+              host(h),
+              new PartId(h.path("part").asInt()),
+              h.path("age").asLong(),
+              h.path("recall").asBoolean()));
     }
     List<Blocked> blocked = new ArrayList<>();
     n.path("blocked").forEach(b -> blocked.add(new Blocked(offer(b), b.path("ms").asLong())));
@@ -195,11 +205,62 @@
         leases,
         owners,
         n.path("ver").asLong(),
+        n.path("whole").asBoolean(),
         lent,
+        names(n.path("off")),
         names(n.path("gone")),
         blocked);
   }
 
+  /** Asks a part's owner where jobs stand now. */
+  public static ObjectNode ask(PartId part, Collection<JobId> ids) {
+    ObjectNode n = Json.object().put("part", part.value());
+    ArrayNode a = n.putArray("ids");
+    ids.forEach(id -> a.add(id.value()));
+    return n;
+  }
+
+  public static PartId askedPart(JsonNode n) {
+    return new PartId(n.path("part").asInt(-1));
+  }
+
+  public static List<JobId> asked(JsonNode n) {
+    List<JobId> l = new ArrayList<>();
+    for (JsonNode id : n.path("ids")) {
+      if (l.size() < MAX_ASKED && id.isTextual()) {
+        l.add(new JobId(id.textValue()));
+      }
+    }
+    return l;
+  }
+
+  /** Only what was found current in the store while the question was open. */
+  public static ObjectNode told(Map<JobId, Standing> standings) {
+    ObjectNode n = Json.object();
+    ArrayNode a = n.putArray("told");
+    standings.forEach(
+        (id, s) ->
+            a.addObject()
+                .put("id", id.value())
+                .put("phase", s.phase().wire)
+                .put("done", s.done())
+                .put("running", s.running()));
+    return n;
+  }
+
+  public static Map<JobId, Standing> told(JsonNode n) {
+    Map<JobId, Standing> m = new HashMap<>();
+    for (JsonNode t : n.path("told")) {
+      Phase p = Phase.of(t.path("phase").asText());
+      if (p != null) {
+        m.put(
+            new JobId(t.path("id").asText()),
+            new Standing(p, t.path("done").asInt(), t.path("running").asInt()));
+      }
+    }
+    return m;
+  }
+
   private static ObjectNode host(ObjectNode o, HostInfo h) {
     return o.put("h", h.name.value()).put("type", h.type).put("zone", h.zone).put("spot", h.spot);
   }
--- a/src/main/java/shorecrank/protocol/UserMessages.java
+++ b/src/main/java/shorecrank/protocol/UserMessages.java
@@ -14,15 +14,28 @@
     DONE("done"),
     WITHDRAWN("withdrawn");
 
-    private final String wire;
+    final String wire;
 
     Phase(String wire) {
       this.wire = wire;
     }
+
+    /** Null if there is no such phase. */
+    static Phase of(String wire) {
+      for (Phase p : values()) {
+        if (p.wire.equals(wire)) {
+          return p;
+        }
+      }
+      return null;
+    }
   }
 
-  public static ObjectNode status(JobId id, Phase phase, int done, int running) {
-    return phase(id, phase).put("done", done).put("running", running);
+  /** What a user is told of a job. */
+  public record Standing(Phase phase, int done, int running) {}
+
+  public static ObjectNode status(JobId id, Standing s) {
+    return phase(id, s.phase).put("done", s.done).put("running", s.running);
   }
 
   public static ObjectNode phase(JobId id, Phase phase) {
--- a/src/main/java/shorecrank/transport/HttpClientPool.java
+++ b/src/main/java/shorecrank/transport/HttpClientPool.java
@@ -50,6 +50,11 @@
     this.maxOpen = maxOpen;
   }
 
+  /** Calls under way or waiting for a connection. */
+  int pending() {
+    return open - free.size() + waiting.size();
+  }
+
   private final class Call {
     final String method;
     final String path;
--- a/src/main/java/shorecrank/transport/Runtime.java
+++ b/src/main/java/shorecrank/transport/Runtime.java
@@ -1,8 +1,10 @@
 package shorecrank.transport;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.micrometer.core.instrument.Measurement;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -14,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
@@ -35,11 +38,15 @@
 public final class Runtime {
   private static final Logger LOG = LoggerFactory.getLogger("shorecrank");
   private static final int EXIT_BROKEN = 3;
+  private static final int METERS_S = 10;
 
   private final NodeConfig config;
   private final Tuning tuning;
   private final Core core;
   private final MeterRegistry meters;
+  private final Map<String, Timer> steps = new HashMap<>();
+  private final Timer lateRounds;
+  private final Map<String, Double> lastMeters = new TreeMap<>();
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
@@ -53,12 +60,16 @@
   private final HttpClientPool cloud;
   private final Map<NodeLabel, HttpClientPool> peers = new HashMap<>();
   private long nextExchange = 1;
+  private long due;
 
   public Runtime(NodeConfig config, Tuning tuning, Core core, MeterRegistry meters) {
     this.config = config;
     this.tuning = tuning;
     this.core = core;
     this.meters = meters;
+    this.lateRounds = meters.timer("round.late");
+    meters.gauge("heap.used", this, r -> r.heapUsed());
+    meters.gauge("state.calls.open", this, r -> r.state.pending());
     this.state = new HttpClientPool(loop, config.stateAddr(), 24);
     this.cloud = new HttpClientPool(loop, config.cloudAddr(), 6);
     for (Member m : config.members()) {
@@ -72,7 +83,16 @@
         .bind(group, config.publicAddr());
     new HttpServer(Math.max(8, (int) (sockets * 0.08)), (e, m, p, b) -> request(e, true, m, p, b))
         .bind(group, config.peerBind());
+    due = nanos.nanoTime();
     loop.execute(this::tick);
+    if (LOG.isDebugEnabled()) {
+      loop.scheduleAtFixedRate(this::logMeters, METERS_S, METERS_S, TimeUnit.SECONDS);
+    }
+  }
+
+  private double heapUsed() {
+    java.lang.Runtime r = java.lang.Runtime.getRuntime();
+    return r.totalMemory() - r.freeMemory();
   }
 
   private void request(
@@ -88,13 +108,16 @@
 
   private void tick() {
     long began = nanos.nanoTime();
+    lateRounds.record(Math.max(0, began - due), TimeUnit.NANOSECONDS);
     long budget = TimeUnit.MILLISECONDS.toNanos(tuning.roundBudgetMs());
     step(new Input.Tick(() -> nanos.nanoTime() - began > budget));
+    due = nanos.nanoTime() + TimeUnit.MILLISECONDS.toNanos(tuning.roundMs());
     loop.schedule(this::tick, tuning.roundMs(), TimeUnit.MILLISECONDS);
   }
 
   private void step(Input in) {
     List<Output> out;
+    long began = nanos.nanoTime();
     try {
       out = core.step(in, new Mono(nanos.nanoTime() / 1_000_000), wall.time(), entropy.nextLong());
     } catch (RuntimeException | Error e) {
@@ -103,6 +126,21 @@
       java.lang.Runtime.getRuntime().halt(EXIT_BROKEN);
       return;
     }
+    carryOut(out);
+    steps
+        .computeIfAbsent(kind(in), k -> meters.timer("step." + k))
+        .record(nanos.nanoTime() - began, TimeUnit.NANOSECONDS);
+  }
+
+  /** Kinds of work, so that an operator sees where the processor time goes. */
+  private static String kind(Input in) {
+    if (in instanceof Input.Request r) {
+      return r.fromPeer() ? "peer" : r.path().equals("/v1/report") ? "report" : "user";
+    }
+    return in instanceof Input.Tick ? "round" : "answer";
+  }
+
+  private void carryOut(List<Output> out) {
     for (Output o : out) {
       if (o instanceof Output.Reply r) {
         HttpServer.Exchange e = exchanges.remove(r.reply());
@@ -144,13 +182,40 @@
     }
   }
 
-  private String metrics() {
-    StringBuilder s = new StringBuilder();
+  private Map<String, Double> values() {
+    Map<String, Double> all = new TreeMap<>();
     for (Meter m : meters.getMeters()) {
-      m.measure()
-          .forEach(
-              v -> s.append(m.getId().getName()).append(' ').append(v.getValue()).append('\n'));
+      for (Measurement v : m.measure()) {
+        String of = m.getId().getName();
+        if (m.getId().getType() == Meter.Type.TIMER) {
+          of += "." + v.getStatistic().getTagValueRepresentation();
+        }
+        all.put(of, v.getValue());
+      }
     }
+    return all;
+  }
+
+  private String metrics() {
+    StringBuilder s = new StringBuilder();
+    values().forEach((name, v) -> s.append(name).append(' ').append(v).append('\n'));
     return s.toString();
   }
+
+  /** What has moved since the last such line. */
+  private void logMeters() {
+    StringBuilder s = new StringBuilder();
+    values()
+        .forEach(
+            (name, v) -> {
+              Double was = lastMeters.put(name, v);
+              if (was == null || was.doubleValue() != v) {
+                s.append(' ').append(name).append('=');
+                s.append(
+                    String.format(
+                        "%.4g", gauges.containsKey(name) ? v : v - (was == null ? 0 : was)));
+              }
+            });
+    LOG.debug("meters{}", s);
+  }
 }
