--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -21,7 +21,7 @@
 
   final HostName name;
   HostInfo info;
-  HostType type;
+  private HostType type;
   boolean lent;
   boolean recall;
   Mono lentSince = Mono.NEVER;
@@ -80,8 +80,29 @@
   private double gpus;
   private double memoryGb;
 
-  Host(HostName name) {
+  /** The part's machines with room; each keeps its own place there up to date. */
+  private final Set<Host> withRoom;
+
+  Host(HostName name, Set<Host> withRoom) {
     this.name = name;
+    this.withRoom = withRoom;
+  }
+
+  HostType type() {
+    return type;
+  }
+
+  void type(HostType t) {
+    type = t;
+    index();
+  }
+
+  private void index() {
+    if (freeCpus() > 1e-9) {
+      withRoom.add(this);
+    } else {
+      withRoom.remove(this);
+    }
   }
 
   void add(LiveTask t) {
@@ -133,6 +154,7 @@
     cpus += sign * s.cpus();
     gpus += sign * s.gpus();
     memoryGb += sign * s.memoryGb();
+    index();
   }
 
   /** A task with this image runs, so the machine holds it; others may have had to go for it. */
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -120,7 +120,11 @@
   /** Writes of this object are numbered above it; no other of this process shares the range. */
   private final long base;
 
-  Job(JobRecord r, Stamp stamp, long life) {
+  /** The part's jobs with something to write; each puts itself there. */
+  private final Set<Job> dirtyJobs;
+
+  Job(JobRecord r, Stamp stamp, long life, Set<Job> dirtyJobs) {
+    this.dirtyJobs = dirtyJobs;
     this.spec = r.spec();
     this.acceptedAtMs = r.acceptedAtMs();
     this.base = life << 24;
@@ -216,6 +220,7 @@
   }
 
   void touch(Urgency u, Mono now) {
+    dirtyJobs.add(this);
     if (dirty == Urgency.NONE) {
       dirtySince = now;
     }
--- a/src/main/java/shorecrank/coordination/Placement.java
+++ b/src/main/java/shorecrank/coordination/Placement.java
@@ -38,7 +38,7 @@
     int n = Math.min(wanted, h.fits(s));
     double left = h.freeCpus() - n * s.cpus();
     // Best fit: little left over, so that large tasks find room elsewhere.
-    c += 2.0 * left / Math.max(1, h.type.cpus());
+    c += 2.0 * left / Math.max(1, h.type().cpus());
     return c;
   }
 
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -58,7 +58,7 @@
   void share(double owned, boolean leading) {
     int n = Math.max(1, config.members().size() + 1);
     requests.rate(config.state().rps() * (0.55 / n + 0.4 * owned));
-    writes.rate(config.state().writeRps() * (0.1 / n + 0.65 * owned + (leading ? 0.1 : 0)));
+    writes.rate(config.state().writeRps() * (0.1 / n + 0.75 * owned + (leading ? 0.05 : 0)));
   }
 
   void begin(Mono now, long wallMs, long entropy) {
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -59,7 +59,7 @@
     for (Host h : steward.hosts.values()) {
       long quiet = steward.silentMs(h);
       if (!h.reported()) {
-        double boot = h.type == null ? 60 : h.type.bootS();
+        double boot = h.type() == null ? 60 : h.type().bootS();
         boolean holds = !h.empty();
         if (holds
             ? quiet > Math.max(15_000, early)
@@ -106,14 +106,14 @@
     List<Host> running = new ArrayList<>();
     List<Host> draining = new ArrayList<>();
     for (Host h : steward.hosts.values()) {
-      if (h.type == null || !h.reported() || !steward.fresh(h) || h.retiring || h.noticed) {
+      if (h.type() == null || !h.reported() || !steward.fresh(h) || h.retiring || h.noticed) {
         continue;
       }
       used += h.usedCpus();
       if (h.draining) {
         draining.add(h);
       } else {
-        have += h.type.cpus();
+        have += h.type().cpus();
         running.add(h);
       }
     }
@@ -123,25 +123,25 @@
     peaks.add(new Peak(now, need));
     double keep = peaks.peekFirst().cpus * SPARE;
     Comparator<Host> dear =
-        Comparator.<Host>comparingDouble(h -> h.type.price(h.info.spot()) / h.type.cpus());
+        Comparator.<Host>comparingDouble(h -> h.type().price(h.info.spot()) / h.type().cpus());
     draining.sort(dear.thenComparing(h -> h.name));
     for (Host h : draining) {
       if (have >= keep) {
         break;
       }
       h.draining = false;
-      have += h.type.cpus();
+      have += h.type().cpus();
     }
     if (now.since(steward.readyAt()) < ports.tuning.idleReturnS() * 1000L) {
       return;
     }
     running.sort(dear.reversed().thenComparing(Host::usedCpus).thenComparing(h -> h.name));
     for (Host h : running) {
-      if (have - h.type.cpus() < keep) {
+      if (have - h.type().cpus() < keep) {
         break;
       }
       h.draining = true;
-      have -= h.type.cpus();
+      have -= h.type().cpus();
     }
   }
 
@@ -174,11 +174,11 @@
     Map<String, HostType> catalog = steward.catalog();
     double free = 0;
     for (Host h : steward.hosts.values()) {
-      if (h.type == null || !h.lent || h.retiring || h.noticed) {
+      if (h.type() == null || !h.lent || h.retiring || h.noticed) {
         continue;
       }
       if (!h.reported()) {
-        free += h.type.cpus();
+        free += h.type().cpus();
       } else if (steward.usable(h)) {
         free += h.freeCpus();
       }
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -14,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import shorecrank.bookkeeping.Budget;
 import shorecrank.bookkeeping.JobRecord;
 import shorecrank.bookkeeping.JobRecord.LiveRange;
 import shorecrank.config.NodeConfig;
@@ -52,6 +54,9 @@
   private static final int TXN_BYTES = 56 * 1024;
   private static final int WATCH_PAUSE_MS = 250;
 
+  /** How often all machines and jobs are looked at; the rounds between look at what changed. */
+  private static final int LOOK_MS = 1000;
+
   private enum Stage {
     LOADING,
     READY
@@ -77,6 +82,14 @@
   final Map<JobId, Job> jobs = new TreeMap<>();
   private final Set<JobId> latched = new HashSet<>();
   final Map<HostName, Host> hosts = new TreeMap<>();
+
+  /** Machines with free processors, so that a round in a full fleet looks at few. */
+  private final Set<Host> withRoom = new ObjectLinkedOpenHashSet<>();
+
+  /** Jobs with something to write. */
+  private final Set<Job> dirty = new ObjectLinkedOpenHashSet<>();
+
+  private Mono lookedAt = Mono.NEVER;
   private final Map<String, double[]> teamUse = new HashMap<>();
   private Map<String, HostType> catalog = Map.of();
 
@@ -121,7 +134,7 @@
     catalog = c;
     for (Host h : hosts.values()) {
       if (h.info != null) {
-        h.type = c.get(h.info.type());
+        h.type(c.get(h.info.type()));
       }
     }
   }
@@ -196,7 +209,12 @@
       if (!watching && !ports.now().before(watchRetryAt)) {
         watch();
       }
-      verdicts();
+      if (ports.now().since(lookedAt) >= LOOK_MS) {
+        lookedAt = ports.now();
+        verdicts();
+        // Whatever became due without being touched.
+        dirty.addAll(jobs.values());
+      }
       if (valid()) {
         kicked = false;
         place(budget);
@@ -275,7 +293,7 @@
   }
 
   private Job add(JobRecord r, Stamp stamp) {
-    Job j = new Job(r, stamp, ports.nextLife());
+    Job j = new Job(r, stamp, ports.nextLife(), dirty);
     jobs.put(j.id(), j);
     j.claimed = false;
     if (r.epoch().value() > 0) {
@@ -305,7 +323,7 @@
   }
 
   private Host host(HostName name) {
-    return hosts.computeIfAbsent(name, Host::new);
+    return hosts.computeIfAbsent(name, n -> new Host(n, withRoom));
   }
 
   private void attach(LiveTask t) {
@@ -403,7 +421,13 @@
       return;
     }
     List<Job> due = new ArrayList<>();
-    for (Job j : jobs.values()) {
+    ports.count("round.looks", dirty.size());
+    for (var i = dirty.iterator(); i.hasNext(); ) {
+      Job j = i.next();
+      if (jobs.get(j.id()) != j || (j.dirty == Urgency.NONE && !over(j))) {
+        i.remove();
+        continue;
+      }
       if (j.inFlight || j.rereading || now.before(j.writeAfter)) {
         continue;
       }
@@ -428,29 +452,34 @@
         int ops = ops(j);
         if (txn.ops() + ops > ports.config.state().txnOps()
             || (bytes > 0 && bytes + ports.config.state().valueKb() * 1024 > TXN_BYTES)
-            || !ports.writes.has(txn.ops() + ops, now)) {
+            || !budget(j).has(ops, now)) {
           break;
         }
+        budget(j).take(ops, now);
         bytes += put(txn, batch, j);
         at++;
       }
       if (batch.isEmpty()) {
         return;
       }
-      ports.writes.take(txn.ops(), now);
       commit(txn, batch);
     }
   }
 
+  /** What a takeover has to claim comes before new placements, with all that the service takes. */
+  private Budget budget(Job j) {
+    return j.claimed || j.epoch.value() == 0 ? ports.writes : ports.userWrites;
+  }
+
   /** Final states and placements go first, then claims, then completions that waited. */
   private int rank(Job j) {
     if (over(j)) {
       return 0;
     }
     if (j.dirty == Urgency.NOW) {
-      return j.claimed || !j.live.isEmpty() ? 1 : 2;
+      return !j.claimed && j.live.isEmpty() ? 3 : ordering.waitsForStart(j.spec) ? 1 : 2;
     }
-    return 3;
+    return 4;
   }
 
   private static boolean over(Job j) {
@@ -728,7 +757,7 @@
     Host h = host(l.host().name());
     if (h.info == null) {
       h.info = l.host();
-      h.type = catalog.get(l.host().type());
+      h.type(catalog.get(l.host().type()));
     }
     if (!h.lent) {
       h.lent = true;
@@ -744,7 +773,7 @@
       h.known = false;
       if (h.empty()) {
         unpark(h);
-        hosts.remove(h.name);
+        drop(h);
       }
     }
   }
@@ -756,11 +785,16 @@
         loseAll(h, "released");
         unpark(h);
         h.clearGhosts();
-        hosts.remove(n);
+        drop(h);
       }
     }
   }
 
+  private void drop(Host h) {
+    hosts.remove(h.name);
+    withRoom.remove(h);
+  }
+
   private void loseAll(Host h, String why) {
     int n = h.live.size();
     for (LiveTask t : new ArrayList<>(h.live)) {
@@ -821,7 +855,7 @@
     Host h = host(r.host());
     if (h.info == null) {
       h.info = new HostInfo(r.host(), r.type(), r.zone(), r.spot());
-      h.type = catalog.get(r.type());
+      h.type(catalog.get(r.type()));
     }
     int cmp = r.tenure().compareTo(h.tenure);
     boolean late = cmp < 0 || (cmp == 0 && r.serial() <= h.serial);
@@ -1143,7 +1177,7 @@
   boolean usable(Host h) {
     Mono now = ports.now();
     return h.lent
-        && h.type != null
+        && h.type() != null
         && fresh(h)
         && !h.recall
         && !h.draining
@@ -1176,16 +1210,16 @@
     double soonS = 0;
     double fetch = 0;
     for (Host h : hosts.values()) {
-      if (h.type == null || !h.lent || h.retiring || h.noticed) {
+      if (h.type() == null || !h.lent || h.retiring || h.noticed) {
         continue;
       }
       if (h.reported()) {
-        cpus += h.type.cpus();
-        fetch += h.type.cpus() * h.type.fetchGbPerS();
+        cpus += h.type().cpus();
+        fetch += h.type().cpus() * h.type().fetchGbPerS();
       } else {
-        soon += h.type.cpus();
-        double left = h.type.bootS() - ports.now().since(h.lentSince) / 1000.0;
-        soonS += h.type.cpus() * Math.max(1, left);
+        soon += h.type().cpus();
+        double left = h.type().bootS() - ports.now().since(h.lentSince) / 1000.0;
+        soonS += h.type().cpus() * Math.max(1, left);
       }
     }
     double busy = 0;
@@ -1197,16 +1231,22 @@
   }
 
   private void place(Input.RoundBudget budget) {
-    List<Job> waiting = waiting();
-    if (waiting.isEmpty()) {
-      return;
-    }
     List<Host> room = new ArrayList<>();
-    for (Host h : hosts.values()) {
-      if (usable(h) && h.freeCpus() > 0) {
+    ports.count("round.looks", withRoom.size());
+    for (Host h : withRoom) {
+      if (usable(h)) {
         room.add(h);
       }
     }
+    // In a full fleet nobody needs an order, unless there is one who makes room for himself.
+    ports.count("round.looks", jobs.size());
+    if (room.isEmpty() && jobs.values().stream().noneMatch(j -> j.queued() > 0 && preempts(j))) {
+      return;
+    }
+    List<Job> waiting = waiting();
+    if (waiting.isEmpty()) {
+      return;
+    }
     // A round that ran out of time goes on where it stopped.
     int start = 0;
     if (cursor != null) {
@@ -1340,14 +1380,33 @@
         }
       }
     }
-    if (wanted > 0 && !j.spec.spread() && j.backoff == 0 && preempts(j)) {
-      placed |= preempt(j, wanted, index, zone);
+    if (wanted > 0 && !j.spec.spread() && j.backoff == 0) {
+      if (preempts(j)) {
+        placed |= preempt(j, wanted, index, zone);
+      } else if (ordering.waitsForStart(j.spec)) {
+        hold(j, wanted, room);
+      }
     }
     if (placed) {
       j.touch(Urgency.NOW, ports.now());
     }
   }
 
+  /**
+   * Room that comes free bit by bit adds up for a job whose start users wait for, instead of being
+   * filled with smaller tasks of jobs behind it: for this round nobody else places there.
+   */
+  private void hold(Job j, int wanted, List<Host> room) {
+    List<Host> near = new ArrayList<>();
+    for (Host h : room) {
+      if (h.allowed(j.spec) && h.fits(j.spec) == 0) {
+        near.add(h);
+      }
+    }
+    near.sort(Comparator.comparingDouble((Host h) -> -h.freeCpus()).thenComparing(h -> h.name));
+    room.removeAll(new HashSet<>(near.subList(0, Math.min(near.size(), wanted))));
+  }
+
   /**
    * Users wait for the start of such a job, so it does not wait for others' ends; but while its aim
    * leaves time for the command and the image, room may yet come free by itself.
@@ -1361,8 +1420,8 @@
     for (NodeConfig.Objective o : ports.config.objectives()) {
       if (o.kind().equals("wait")
           && o.jobClass().equals(j.spec.jobClass())
-          && (o.withinS() > age || aim == Double.MAX_VALUE)) {
-        aim = Math.min(aim, o.withinS());
+          && (aim == Double.MAX_VALUE || o.withinS() > aim)) {
+        aim = o.withinS();
       }
     }
     if (aim == Double.MAX_VALUE) {
@@ -1420,6 +1479,7 @@
         best.yield(t);
       }
       ports.count("task.preempted");
+      victims.forEach(t -> ports.count("task.preempted.ms", (long) (t.lost(ports.now()) * 1000)));
       Attempt attempt = new Attempt(++j.tries);
       attach(new LiveTask(j, index, best, best.tenure, attempt, j.seq + 1, ports.now()));
       placed = true;
