--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -837,6 +837,7 @@
   }
 
   private void verdicts() {
+    ports.count("round.looks", hosts.size());
     for (Host h : hosts.values()) {
       if (!h.empty() && leaseOut(h)) {
         loseAll(h, "its worker's lease ran out");
@@ -1201,10 +1202,13 @@
         l.add(j);
       }
     }
-    return l.size() < 2 ? l : sorted(l);
+    return l;
   }
 
   private List<Job> sorted(List<Job> waiting) {
+    if (waiting.size() < 2) {
+      return waiting;
+    }
     double cpus = 0;
     double soon = 0;
     double soonS = 0;
@@ -1231,6 +1235,11 @@
   }
 
   private void place(Input.RoundBudget budget) {
+    ports.count("round.looks", jobs.size());
+    List<Job> waiting = waiting();
+    if (waiting.isEmpty()) {
+      return;
+    }
     List<Host> room = new ArrayList<>();
     ports.count("round.looks", withRoom.size());
     for (Host h : withRoom) {
@@ -1239,14 +1248,10 @@
       }
     }
     // In a full fleet nobody needs an order, unless there is one who makes room for himself.
-    ports.count("round.looks", jobs.size());
-    if (room.isEmpty() && jobs.values().stream().noneMatch(j -> j.queued() > 0 && preempts(j))) {
-      return;
-    }
-    List<Job> waiting = waiting();
-    if (waiting.isEmpty()) {
+    if (room.isEmpty() && waiting.stream().noneMatch(this::preempts)) {
       return;
     }
+    waiting = sorted(waiting);
     // A round that ran out of time goes on where it stopped.
     int start = 0;
     if (cursor != null) {
@@ -1380,33 +1385,14 @@
         }
       }
     }
-    if (wanted > 0 && !j.spec.spread() && j.backoff == 0) {
-      if (preempts(j)) {
-        placed |= preempt(j, wanted, index, zone);
-      } else if (ordering.waitsForStart(j.spec)) {
-        hold(j, wanted, room);
-      }
+    if (wanted > 0 && !j.spec.spread() && j.backoff == 0 && preempts(j)) {
+      placed |= preempt(j, wanted, index, zone);
     }
     if (placed) {
       j.touch(Urgency.NOW, ports.now());
     }
   }
 
-  /**
-   * Room that comes free bit by bit adds up for a job whose start users wait for, instead of being
-   * filled with smaller tasks of jobs behind it: for this round nobody else places there.
-   */
-  private void hold(Job j, int wanted, List<Host> room) {
-    List<Host> near = new ArrayList<>();
-    for (Host h : room) {
-      if (h.allowed(j.spec) && h.fits(j.spec) == 0) {
-        near.add(h);
-      }
-    }
-    near.sort(Comparator.comparingDouble((Host h) -> -h.freeCpus()).thenComparing(h -> h.name));
-    room.removeAll(new HashSet<>(near.subList(0, Math.min(near.size(), wanted))));
-  }
-
   /**
    * Users wait for the start of such a job, so it does not wait for others' ends; but while its aim
    * leaves time for the command and the image, room may yet come free by itself.
@@ -1420,8 +1406,8 @@
     for (NodeConfig.Objective o : ports.config.objectives()) {
       if (o.kind().equals("wait")
           && o.jobClass().equals(j.spec.jobClass())
-          && (aim == Double.MAX_VALUE || o.withinS() > aim)) {
-        aim = o.withinS();
+          && (o.withinS() > age || aim == Double.MAX_VALUE)) {
+        aim = Math.min(aim, o.withinS());
       }
     }
     if (aim == Double.MAX_VALUE) {
