--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -91,6 +91,11 @@
 
   private static final int SAVE_PAUSE_MS = 1000;
 
+  /** A kind that was refused is asked for again after so long, then twice that, up to the most. */
+  private static final long BLOCK_MS = 4_000;
+
+  private static final long BLOCK_MAX_MS = 10_000;
+
   /** Changes of the lending that are kept; who lags further behind gets all of it. */
   private static final int KEPT_CHANGES = 3000;
 
@@ -821,7 +826,7 @@
       return;
     }
     int n = refusals.merge(o, 1, Integer::sum);
-    long ms = Math.min(40_000, 8_000L << Math.min(n - 1, 3));
+    long ms = Math.min(BLOCK_MAX_MS, BLOCK_MS << Math.min(n - 1, 4));
     blockedUntil.put(o, ports.now().plus(ms));
     ports.info("no capacity for %s, again in %d ms", o, ms);
   }
--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -17,8 +17,10 @@
  *
  * <p>First come jobs that have waited long without a first task. Then those that can still reach an
  * aim of their class, by the latest start that reaches it; but where the fleet can't serve them all
- * in time, the job that asks for the most work, measured by its class and priority, is put back
- * until the others can be served. The rest follows by priority and least work left.
+ * in time, the job that asks for the most work for what it counts is put back until the others can
+ * be served. Aims are shares of a class's jobs, so a job counts for the less the more jobs its
+ * class has, and for more by the number of its class's aims and by its priority. The rest follows
+ * by priority and least work left.
  */
 final class Ordering {
   /** A job without a single task after this long goes first, whatever its size. */
@@ -41,8 +43,8 @@
   private final Ports ports;
   private final Map<String, List<Aim>> aims = new HashMap<>();
 
-  /** What jobs of a class ask for on average, in processor seconds. */
-  private final Map<String, Double> usualWork = new HashMap<>();
+  /** How many jobs of a class there were; aims are shares of them. */
+  private final Map<String, Integer> seen = new HashMap<>();
 
   private final Set<Job> known = new HashSet<>();
 
@@ -181,22 +183,22 @@
     if (best == Double.MAX_VALUE) {
       return null;
     }
-    double usual = usualWork.getOrDefault(s.jobClass(), 1.0);
     double weight =
-        usual
+        Math.max(1, aims.getOrDefault(s.jobClass(), List.of()).size())
             * switch (s.priority()) {
               case PROD -> 4;
               case URGENT -> 2;
               case NORMAL -> 1.4;
               case LOW -> 1;
-            };
+            }
+            / Math.max(1, seen.getOrDefault(s.jobClass(), 1));
     double queuedWork = j.queued() * Math.max(0.1, s.cpus()) * (run + fetch);
     return new Entry(j, best, run * LAST_TASK + fetch + command, queuedWork, weight);
   }
 
   private void learn(Job j) {
     if (known.add(j)) {
-      usualWork.merge(j.spec.jobClass(), Math.max(1, j.workLeft()), (a, b) -> a + 0.1 * (b - a));
+      seen.merge(j.spec.jobClass(), 1, Integer::sum);
     }
   }
 
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -16,8 +16,8 @@
 
 /** Which machines a part asks the leader to rent and to return. */
 final class Renting {
-  /** Arrivals come in bursts: a quarter more than the last peak stays. */
-  private static final double SPARE = 1.25;
+  /** Arrivals come in bursts: somewhat more than the last peak stays. */
+  private static final double SPARE = 1.15;
 
   private final Ports ports;
   private final Steward steward;
