Controllers without leader answers read owners from the store; requests are relayed

Now the store tells who owns what, and machines nobody has heard count among the silent ones. A controller that the state service refuses passes users' requests on.

--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -39,6 +39,13 @@
 public final class Core {
   private static final String CATALOG = "catalog";
   private static final int ASK_MS = 700;
+  private static final int RELAY_MS = 2000;
+
+  /** After so long without a leader's answer, what it said of owners is looked up in the store. */
+  private static final int STALE_MS = 2500;
+
+  /** So long without the state service, while others reach it, and users are better off there. */
+  private static final int UNHEALTHY_MS = 3000;
 
   private final Ports ports;
   private final Election election;
@@ -51,6 +58,9 @@
   private final Map<PartId, Map<JobId, List<Steward.OnStanding>>> questions = new TreeMap<>();
   private long lendVersion = -1;
   private Mono beatAt = new Mono(0);
+  private Mono answeredAt = new Mono(0);
+  private boolean ownersBusy;
+  private Mono ownersAt = new Mono(0);
   private boolean beating;
   private Mono peerHeardAt = Mono.NEVER;
   private boolean othersStateOk;
@@ -65,7 +75,7 @@
     this.ports = new Ports(config, tuning, writer);
     this.election = new Election(ports);
     this.leader = new Leader(ports, election);
-    this.desk = new UserDesk(ports, this::askOwner);
+    this.desk = new UserDesk(ports, this::askOwner, this::relay);
   }
 
   /**
@@ -95,6 +105,7 @@
       beat();
     }
     catalogWork();
+    lookUpOwners();
     if (!now.before(probeAt)) {
       probeAt = now.plus(1000);
       if (now.since(ports.stateOkAt()) > 900) {
@@ -121,24 +132,71 @@
     }
     switch (path) {
       case "/healthz" -> only("GET", r, () -> health(r));
-      case "/api/jobs" -> only("POST", r, () -> desk.submit(r.reply(), r.body()));
       case "/v1/report" -> only("POST", r, () -> report(r));
-      default -> {
-        if (path.startsWith("/api/jobs/")) {
-          String rest = path.substring("/api/jobs/".length());
-          if (rest.endsWith("/abort") && rest.indexOf('/') == rest.length() - 6) {
-            String id = rest.substring(0, rest.length() - 6);
-            only("POST", r, () -> desk.cancel(r.reply(), id));
-            return;
-          }
-          if (!rest.isEmpty() && rest.indexOf('/') < 0) {
-            only("GET", r, () -> desk.status(r.reply(), rest));
-            return;
-          }
-        }
-        ports.reply(r.reply(), 404, Json.error("no such path"));
+      default -> user(r, path, false);
+    }
+  }
+
+  private void user(Input.Request r, String path, boolean relayed) {
+    UserDesk.Ask ask = new UserDesk.Ask(r.reply(), r.method(), path, r.body(), relayed);
+    if (path.equals("/api/jobs")) {
+      only("POST", r, () -> desk.submit(ask));
+      return;
+    }
+    if (path.startsWith("/api/jobs/")) {
+      String rest = path.substring("/api/jobs/".length());
+      if (rest.endsWith("/abort") && rest.indexOf('/') == rest.length() - 6) {
+        String id = rest.substring(0, rest.length() - 6);
+        only("POST", r, () -> desk.cancel(ask, id));
+        return;
       }
+      if (!rest.isEmpty() && rest.indexOf('/') < 0) {
+        only("GET", r, () -> desk.status(ask, rest));
+        return;
+      }
+    }
+    ports.reply(r.reply(), 404, Json.error("no such path"));
+  }
+
+  /** Passes a user's request on to a controller that reaches the state service, if one says so. */
+  private boolean relay(UserDesk.Ask ask, Runnable failed) {
+    if (!othersStateOk || ports.now().since(othersAt) > 4000) {
+      return false;
     }
+    NodeLabel to = election.leader();
+    if (to == null || to.equals(ports.config.label())) {
+      List<NodeConfig.Member> others = ports.config.members();
+      if (others.isEmpty()) {
+        return false;
+      }
+      to = others.get(ports.random().nextInt(others.size())).label();
+    }
+    ports.count("user.relayed");
+    ports.peer(
+        to,
+        PeerMessages.RELAY,
+        PeerMessages.relay(ask.method(), ask.path(), ask.body()),
+        RELAY_MS,
+        (status, body) -> {
+          switch (status) {
+            case 200, 201, 400, 404, 422 -> ports.reply(ask.reply(), status, body);
+            default -> failed.run();
+          }
+        });
+    return true;
+  }
+
+  private void relayed(Input.Request r) {
+    JsonNode n = Json.parse(r.body());
+    user(
+        new Input.Request(
+            r.reply(),
+            false,
+            PeerMessages.relayedMethod(n),
+            PeerMessages.relayedPath(n),
+            PeerMessages.relayedBody(n)),
+        PeerMessages.relayedPath(n),
+        true);
   }
 
   private void only(String method, Input.Request r, Runnable then) {
@@ -155,7 +213,8 @@
     boolean alone = !ports.config.members().isEmpty() && now.since(peerHeardAt) > 6000;
     // In an outage of the state service no controller is better than another, and all stay healthy.
     boolean ok =
-        !catalog.isEmpty() && (now.since(ports.stateOkAt()) < 5000 || (!othersServe && !alone));
+        !catalog.isEmpty()
+            && (now.since(ports.stateOkAt()) < UNHEALTHY_MS || (!othersServe && !alone));
     ports.reply(
         r.reply(), ok ? 200 : 503, Json.object().put("status", ok ? "serving" : "not serving"));
   }
@@ -164,6 +223,7 @@
     switch (path) {
       case PeerMessages.BEAT -> only("POST", r, () -> peerBeat(r));
       case PeerMessages.ASK -> only("POST", r, () -> peerAsk(r));
+      case PeerMessages.RELAY -> only("POST", r, () -> relayed(r));
       case PeerMessages.NUDGE ->
           only(
               "POST",
@@ -353,18 +413,49 @@
         });
   }
 
+  /**
+   * While the leader's answers don't come, the store says who owns what. Without it controllers
+   * would go on naming an owner that has been replaced, and workers would be sent back to it for
+   * ever.
+   */
+  private void lookUpOwners() {
+    Mono now = ports.now();
+    if (now.since(answeredAt) < STALE_MS || ownersBusy || now.before(ownersAt)) {
+      return;
+    }
+    ownersBusy = true;
+    ports.state(
+        "GET",
+        StoreMessages.list(Leader.PART, "", 200),
+        null,
+        1500,
+        (status, body) -> {
+          ownersBusy = false;
+          ownersAt = ports.now().plus(800 + ports.random().nextInt(400));
+          if (status == 200) {
+            StoreMessages.entries(body).forEach(e -> owner(Leader.owner(e.value())));
+          }
+        });
+  }
+
+  private void owner(OwnerInfo o) {
+    OwnerInfo known = owners.get(o.part());
+    if (known == null || o.epoch().above(known.epoch())) {
+      owners.put(o.part(), o);
+    }
+    Steward s = stewards.get(o.part());
+    if (s != null && o.epoch().above(s.epoch()) && !o.label().equals(ports.config.label())) {
+      s.end("owner is " + o.label() + " at epoch " + o.epoch());
+      stewards.remove(o.part());
+    }
+  }
+
   private void answered(BeatAnswer a, Mono sent) {
+    answeredAt = ports.now();
     othersStateOk = a.othersStateOk() || !election.holding();
     othersAt = ports.now();
     owners.clear();
-    a.owners().forEach(o -> owners.put(o.part(), o));
-    for (OwnerInfo o : a.owners()) {
-      Steward s = stewards.get(o.part());
-      if (s != null && o.epoch().above(s.epoch()) && !o.label().equals(ports.config.label())) {
-        s.end("owner is " + o.label() + " at epoch " + o.epoch());
-        stewards.remove(o.part());
-      }
-    }
+    a.owners().forEach(this::owner);
     // A part we hold that the leader neither renews nor gives to another is being taken back.
     for (PartId p : new ArrayList<>(stewards.keySet())) {
       boolean kept = a.leases().stream().anyMatch(l -> l.part().equals(p));
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -42,7 +42,7 @@
 /** The leading controller's work: epochs, part leases, lending machines, dealing with the cloud. */
 final class Leader {
   private static final String EPOCH = "epoch";
-  private static final String PART = "part/";
+  static final String PART = "part/";
   private static final String HOSTS = "hosts/";
 
   /** Machines are written down many to a key: a change a machine would take seconds' budgets. */
@@ -214,14 +214,14 @@
             parts.put(new PartId(i), new Part());
           }
           for (StoreMessages.Entry e : StoreMessages.entries(body)) {
-            PartId id = new PartId((int) Json.count(e.value().path("part")));
-            Part p = parts.get(id);
+            OwnerInfo o = owner(e.value());
+            Part p = parts.get(o.part());
             if (p == null) {
               continue;
             }
-            p.owner = new NodeLabel(Json.text(e.value().path("label")));
+            p.owner = o.label();
             p.writer = new WriterId(Json.text(e.value().path("writer")));
-            p.epoch = new Epoch(e.value().path("epoch").asLong());
+            p.epoch = o.epoch();
             p.vacant = false;
             // The last leader may have renewed the lease just before its term ended.
             p.leaseUntil = ports.now().plus(leaseBound());
@@ -231,6 +231,14 @@
         });
   }
 
+  /** What the record of a part says. */
+  static OwnerInfo owner(JsonNode part) {
+    return new OwnerInfo(
+        new PartId((int) Json.count(part.path("part"))),
+        new NodeLabel(Json.text(part.path("label"))),
+        new Epoch(part.path("epoch").asLong()));
+  }
+
   private long leaseBound() {
     return ports.tuning.leaseMs() + ports.tuning.leaseMs() / 500 + 20;
   }
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -42,13 +42,16 @@
     double report = ports.config.workers().reportS() * 1000;
     double lease = ports.config.workers().leaseS() * 1000;
     int silent = 0;
+    int expected = 0;
     for (Host h : steward.hosts.values()) {
-      if (h.lent && h.reported() && !steward.fresh(h)) {
-        silent++;
+      // One that holds tasks has run before, whether or not this owner has heard it.
+      if (h.reported() || !h.empty()) {
+        expected++;
+        silent += steward.fresh(h) ? 0 : 1;
       }
     }
-    // Many silent at once: more likely it is we who are cut off.
-    boolean many = silent > Math.max(2, steward.hosts.size() / 3);
+    // Many silent at once: more likely it is we who are cut off, or they have not found us yet.
+    boolean many = silent > Math.max(2, expected / 3);
     // Releasing a silent machine is the quick way to be sure of its tasks, where its lease is long.
     double early = 3 * report + 4000;
     double patience = lease - early > 10_000 ? early : lease + 30_000;
@@ -62,7 +65,7 @@
         double boot = h.type() == null ? 60 : h.type().bootS();
         boolean holds = !h.empty();
         if (holds
-            ? quiet > Math.max(15_000, early)
+            ? quiet > (many ? patience : Math.max(15_000, early))
             : now.since(h.lentSince) > 1000 * (5 * boot + 120)) {
           if (holds || h.lent) {
             retire.add(h.name);
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -40,15 +40,26 @@
       Caffeine.newBuilder().maximumSize(5000).executor(Runnable::run).build();
 
   private final Owners owners;
+  private final Relay relay;
   private Map<String, HostType> catalog = Map.of();
 
+  /** A user's request; {@code relayed} if another controller passed it on. */
+  record Ask(long reply, String method, String path, byte[] body, boolean relayed) {}
+
+  /** Passes a request on to a controller that reaches the state service. */
+  interface Relay {
+    /** False if there is none; else the answer is given, or {@code failed} is run. */
+    boolean relay(Ask ask, Runnable failed);
+  }
+
   /** Asks the owner of a part, wherever it is. */
   interface Owners {
     void ask(PartId part, JobId id, Steward.OnStanding then);
   }
 
-  UserDesk(Ports ports, Owners owners) {
+  UserDesk(Ports ports, Owners owners, Relay relay) {
     this.ports = ports;
+    this.relay = relay;
     this.owners = owners;
   }
 
@@ -56,29 +67,36 @@
     catalog = c;
   }
 
-  private void later(long reply, String why) {
+  private void later(Ask ask, String why) {
     ports.count("user.refused." + why.replace(' ', '_'));
-    ports.replyLater(reply, 503, Json.error(why), 1);
+    ports.replyLater(ask.reply(), 503, Json.error(why), 1);
+  }
+
+  /** Another controller may still reach the state service; then it answers for this one. */
+  private void unavailable(Ask ask) {
+    if (ask.relayed() || !relay.relay(ask, () -> later(ask, "state service unavailable"))) {
+      later(ask, "state service unavailable");
+    }
   }
 
-  private boolean busy(long reply) {
+  private boolean busy(Ask ask) {
     if (ports.requests.has(1, ports.now())) {
       return false;
     }
-    later(reply, "state requests are used up");
+    later(ask, "state requests are used up");
     return true;
   }
 
-  void submit(long reply, byte[] body) {
+  void submit(Ask ask) {
     JobSpec spec;
     try {
-      spec = JobSpec.read(Json.parse(body));
+      spec = JobSpec.read(Json.parse(ask.body()));
     } catch (JobSpec.Malformed e) {
-      ports.reply(reply, 400, Json.error(e.getMessage()));
+      ports.reply(ask.reply(), 400, Json.error(e.getMessage()));
       return;
     }
     if (catalog.isEmpty()) {
-      later(reply, "machine types are not known yet");
+      later(ask, "machine types are not known yet");
       return;
     }
     String never = never(spec);
@@ -86,16 +104,20 @@
       // Limits may have changed since it was accepted: a known job is answered as such.
       lookUp(
           spec.id(),
-          found -> answerKnown(reply, spec.id(), found),
-          () -> ports.reply(reply, 422, Json.error(never)),
-          () -> later(reply, "state service unavailable"));
+          found -> answerKnown(ask, spec.id(), found),
+          () -> ports.reply(ask.reply(), 422, Json.error(never)),
+          () -> unavailable(ask));
+      return;
+    }
+    if (!ports.stateOk()) {
+      unavailable(ask);
       return;
     }
     if (!ports.userWrites.tryTake(1, ports.now())) {
-      later(reply, "state changes are used up");
+      later(ask, "state changes are used up");
       return;
     }
-    create(reply, spec, 2);
+    create(ask, spec, 2);
   }
 
   private String never(JobSpec s) {
@@ -113,7 +135,7 @@
     return null;
   }
 
-  private void create(long reply, JobSpec spec, int tries) {
+  private void create(Ask ask, JobSpec spec, int tries) {
     JobRecord r =
         new JobRecord(
             spec, Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, ports.wallMs());
@@ -130,18 +152,18 @@
         (status, body) -> {
           if (status == 200) {
             ports.count("job.accepted");
-            ports.reply(reply, 201, UserMessages.phase(spec.id(), Phase.QUEUED));
+            ports.reply(ask.reply(), 201, UserMessages.phase(spec.id(), Phase.QUEUED));
           } else if (status == 409) {
             lookUp(
                 spec.id(),
-                found -> answerKnown(reply, spec.id(), found),
-                () -> later(reply, "try again"),
-                () -> later(reply, "state service unavailable"));
+                found -> answerKnown(ask, spec.id(), found),
+                () -> later(ask, "try again"),
+                () -> unavailable(ask));
           } else if (status == 0 && tries > 1) {
             // It may have been accepted, or be yet: the same guard settles that.
-            create(reply, spec, tries - 1);
+            create(ask, spec, tries - 1);
           } else {
-            later(reply, "state service unavailable");
+            unavailable(ask);
           }
         });
   }
@@ -165,8 +187,8 @@
     }
   }
 
-  private void answerKnown(long reply, JobId id, Found f) {
-    ports.reply(reply, 200, UserMessages.phase(id, f.standing().phase()));
+  private void answerKnown(Ask ask, JobId id, Found f) {
+    ports.reply(ask.reply(), 200, UserMessages.phase(id, f.standing().phase()));
   }
 
   /**
@@ -221,15 +243,15 @@
         });
   }
 
-  void status(long reply, String name) {
+  void status(Ask ask, String name) {
     if (!JobSpec.idOk(name)) {
-      ports.reply(reply, 404, Json.error("no such job"));
+      ports.reply(ask.reply(), 404, Json.error("no such job"));
       return;
     }
     JobId id = new JobId(name);
     PartId part = partOf.getIfPresent(id);
     if (part == null || finals.getIfPresent(id) != null) {
-      statusFromStore(reply, id);
+      statusFromStore(ask, id);
       return;
     }
     owners.ask(
@@ -237,56 +259,64 @@
         id,
         standing -> {
           if (standing == null) {
-            statusFromStore(reply, id);
+            statusFromStore(ask, id);
             return;
           }
-          ports.reply(reply, 200, UserMessages.status(id, standing));
+          ports.reply(ask.reply(), 200, UserMessages.status(id, standing));
         });
   }
 
-  private void statusFromStore(long reply, JobId id) {
-    if (finals.getIfPresent(id) == null && busy(reply)) {
-      return;
+  private void statusFromStore(Ask ask, JobId id) {
+    if (finals.getIfPresent(id) == null) {
+      if (!ports.stateOk()) {
+        unavailable(ask);
+        return;
+      }
+      if (busy(ask)) {
+        return;
+      }
     }
     lookUp(
         id,
-        found -> ports.reply(reply, 200, UserMessages.status(id, found.standing())),
-        () -> ports.reply(reply, 404, Json.error("no such job")),
-        () -> later(reply, "state service unavailable"));
+        found -> ports.reply(ask.reply(), 200, UserMessages.status(id, found.standing())),
+        () -> ports.reply(ask.reply(), 404, Json.error("no such job")),
+        () -> unavailable(ask));
   }
 
-  void cancel(long reply, String name) {
+  void cancel(Ask ask, String name) {
     if (!JobSpec.idOk(name)) {
-      ports.reply(reply, 404, Json.error("no such job"));
+      ports.reply(ask.reply(), 404, Json.error("no such job"));
       return;
     }
-    if (!busy(reply)) {
-      cancel(reply, new JobId(name), CANCEL_TRIES);
+    if (!ports.stateOk()) {
+      unavailable(ask);
+    } else if (!busy(ask)) {
+      cancel(ask, new JobId(name), CANCEL_TRIES);
     }
   }
 
-  private void cancel(long reply, JobId id, int tries) {
+  private void cancel(Ask ask, JobId id, int tries) {
     if (tries == 0) {
-      later(reply, "busy");
+      later(ask, "busy");
       return;
     }
     lookUp(
         id,
         found -> {
           if (found instanceof Found.Unfinished u && !u.record.aborted()) {
-            mark(reply, id, u, tries);
+            mark(ask, id, u, tries);
           } else {
-            answerKnown(reply, id, found);
+            answerKnown(ask, id, found);
           }
         },
-        () -> ports.reply(reply, 404, Json.error("no such job")),
-        () -> later(reply, "state service unavailable"));
+        () -> ports.reply(ask.reply(), 404, Json.error("no such job")),
+        () -> unavailable(ask));
   }
 
   /** Epoch and writer stay the owner's; only the mark is ours, behind the record's stamp. */
-  private void mark(long reply, JobId id, Found.Unfinished u, int tries) {
+  private void mark(Ask ask, JobId id, Found.Unfinished u, int tries) {
     if (!ports.userWrites.tryTake(1, ports.now())) {
-      later(reply, "state changes are used up");
+      later(ask, "state changes are used up");
       return;
     }
     JobRecord r = u.record;
@@ -312,12 +342,12 @@
         (status, body) -> {
           if (status == 200) {
             ports.count("job.cancelled");
-            ports.reply(reply, 200, UserMessages.phase(id, Phase.WITHDRAWN));
+            ports.reply(ask.reply(), 200, UserMessages.phase(id, Phase.WITHDRAWN));
           } else if (status == 409 || status == 0) {
             // Changed meanwhile, or not known: look again and write behind what is there now.
-            cancel(reply, id, tries - 1);
+            cancel(ask, id, tries - 1);
           } else {
-            later(reply, "state service unavailable");
+            unavailable(ask);
           }
         });
   }
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -27,6 +27,7 @@
   public static final String BEAT = "/peer/beat";
   public static final String NUDGE = "/peer/nudge";
   public static final String ASK = "/peer/ask";
+  public static final String RELAY = "/peer/relay";
 
   /** So many jobs at most are asked for in one message. */
   public static final int MAX_ASKED = 400;
@@ -212,6 +213,25 @@
         blocked);
   }
 
+  /** A user's request as it came. */
+  public static ObjectNode relay(String method, String path, byte[] body) {
+    ObjectNode n = Json.object().put("method", method).put("path", path);
+    n.set("body", Json.parse(body));
+    return n;
+  }
+
+  public static String relayedMethod(JsonNode n) {
+    return Json.text(n.path("method"));
+  }
+
+  public static String relayedPath(JsonNode n) {
+    return Json.text(n.path("path"));
+  }
+
+  public static byte[] relayedBody(JsonNode n) {
+    return Json.bytes(n.path("body"));
+  }
+
   /** Asks a part's owner where jobs stand now. */
   public static ObjectNode ask(PartId part, Collection<JobId> ids) {
     ObjectNode n = Json.object().put("part", part.value());
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -313,6 +313,8 @@
         switch (a[1]) {
           case "done", "withdrawn" ->
               Arrays.stream(a[2].split(",")).allMatch(j -> w.checker.told(j).equals(a[1]));
+          case "accepted" ->
+              Arrays.stream(a[2].split(",")).noneMatch(j -> w.checker.told(j).equals("unknown"));
           case "status" -> w.statuses.getOrDefault(a[2], 0) == Integer.parseInt(a[3]);
           case "epoch" -> w.store.peek("epoch").path("v").asLong() >= Long.parseLong(a[2]);
           case "epoch-below" -> w.store.peek("epoch").path("v").asLong() < Long.parseLong(a[2]);
