--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -55,7 +55,7 @@
   private final Map<PartId, OwnerInfo> owners = new TreeMap<>();
   private final Map<HostName, Lent> lent = new LinkedHashMap<>();
   private final Map<HostName, HostInfo> seen = new LinkedHashMap<>();
-  private final Map<PartId, Map<JobId, List<Steward.OnStanding>>> questions = new TreeMap<>();
+  private final Map<PartId, Map<JobId, List<Questions.OnStanding>>> questions = new TreeMap<>();
   private long lendVersion = -1;
   private Mono beatAt = new Mono(0);
   private Mono answeredAt = new Mono(0);
@@ -261,7 +261,7 @@
   }
 
   /** Asks the owner of a part, here or elsewhere; null if it can't tell. */
-  private void askOwner(PartId part, JobId id, Steward.OnStanding then) {
+  private void askOwner(PartId part, JobId id, Questions.OnStanding then) {
     Steward s = stewards.get(part);
     if (s != null) {
       s.ask(id, then);
@@ -284,7 +284,7 @@
         (part, byId) -> {
           OwnerInfo o = owners.get(part);
           List<JobId> ids = byId.keySet().stream().limit(PeerMessages.MAX_ASKED).toList();
-          Map<JobId, List<Steward.OnStanding>> sent = new LinkedHashMap<>(byId);
+          Map<JobId, List<Questions.OnStanding>> sent = new LinkedHashMap<>(byId);
           if (o == null) {
             sent.values().forEach(l -> l.forEach(t -> t.told(null)));
             return;
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Questions.java
@@ -0,0 +1,125 @@
+package shorecrank.coordination;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import shorecrank.bookkeeping.JobRecord;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.StoreMessages;
+import shorecrank.protocol.UserMessages.Standing;
+
+/**
+ * Answers where a part's jobs stand. One transaction that only compares finds all records in
+ * question unchanged, so no answer is older than one given elsewhere, and a burst of questions
+ * costs the state service few requests.
+ */
+final class Questions {
+  private static final int COMPARE_MS = 1000;
+
+  /** Takes what the store holds of a job now; null if this owner can't tell. */
+  interface OnStanding {
+    void told(Standing standing);
+  }
+
+  private final Ports ports;
+  private final Map<JobId, Job> jobs;
+
+  /** Jobs that ended here: what never changes again needs no look at the store. */
+  private final Cache<JobId, Standing> ended =
+      Caffeine.newBuilder().maximumSize(2000).executor(Runnable::run).build();
+
+  private final Map<JobId, List<OnStanding>> asked = new LinkedHashMap<>();
+  private boolean asking;
+
+  Questions(Ports ports, Map<JobId, Job> jobs) {
+    this.ports = ports;
+    this.jobs = jobs;
+  }
+
+  void ended(JobId id, Standing standing) {
+    ended.put(id, standing);
+  }
+
+  void ask(JobId id, boolean owner, OnStanding then) {
+    Standing end = ended.getIfPresent(id);
+    if (end != null) {
+      then.told(end);
+    } else if (!owner || !jobs.containsKey(id)) {
+      then.told(null);
+    } else {
+      asked.computeIfAbsent(id, k -> new ArrayList<>(1)).add(then);
+    }
+  }
+
+  /** The part is given up: others have to be asked. */
+  void close() {
+    asked.values().forEach(l -> l.forEach(t -> t.told(null)));
+    asked.clear();
+  }
+
+  /** Once a round. */
+  void answer() {
+    if (asked.isEmpty() || asking) {
+      return;
+    }
+    Map<JobId, List<OnStanding>> batch = new LinkedHashMap<>();
+    int max = ports.config.state().txnOps() * 4;
+    for (var i = asked.entrySet().iterator(); i.hasNext() && batch.size() < max; ) {
+      var e = i.next();
+      batch.put(e.getKey(), e.getValue());
+      i.remove();
+    }
+    compare(batch, 2);
+  }
+
+  private void compare(Map<JobId, List<OnStanding>> batch, int tries) {
+    StoreMessages.Txn txn = new StoreMessages.Txn();
+    Map<JobId, Standing> sent = new HashMap<>();
+    for (JobId id : new ArrayList<>(batch.keySet())) {
+      Job j = jobs.get(id);
+      if (j == null || j.standing == null) {
+        batch.remove(id).forEach(t -> t.told(ended.getIfPresent(id)));
+      } else {
+        txn.guard(JobRecord.liveKey(id), j.stamp);
+        sent.put(id, j.standing);
+      }
+    }
+    if (batch.isEmpty()) {
+      return;
+    }
+    asking = true;
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        txn.body(),
+        COMPARE_MS,
+        (status, body) -> {
+          asking = false;
+          Set<String> failed = status == 409 ? StoreMessages.failed(body) : Set.of();
+          Map<JobId, List<OnStanding>> again = new LinkedHashMap<>();
+          batch.forEach(
+              (id, l) -> {
+                if (status == 200) {
+                  l.forEach(t -> t.told(sent.get(id)));
+                } else if (status == 409
+                    && tries > 1
+                    && !failed.isEmpty()
+                    && !failed.contains(JobRecord.liveKey(id))) {
+                  // Whether a refusal names all that differ is not said: what it does not name
+                  // is compared once more.
+                  again.put(id, l);
+                } else {
+                  l.forEach(t -> t.told(ended.getIfPresent(id)));
+                }
+              });
+          if (!again.isEmpty()) {
+            compare(again, tries - 1);
+          }
+        });
+  }
+}
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -1,15 +1,12 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.github.benmanes.caffeine.cache.Cache;
-import com.github.benmanes.caffeine.cache.Caffeine;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -100,12 +97,7 @@
   private final Ordering ordering;
   private boolean closed;
 
-  /** Jobs that ended here: what never changes again needs no look at the store. */
-  private final Cache<JobId, Standing> ended =
-      Caffeine.newBuilder().maximumSize(2000).executor(Runnable::run).build();
-
-  private final Map<JobId, List<OnStanding>> asked = new LinkedHashMap<>();
-  private boolean asking;
+  private final Questions questions;
   private final Set<Host> parked = new LinkedHashSet<>();
   private boolean kicked;
   private Mono readyAt = Mono.NEVER;
@@ -118,6 +110,7 @@
     this.grantedAt = grantedAt;
     this.renting = new Renting(ports, this);
     this.ordering = new Ordering(ports);
+    this.questions = new Questions(ports, jobs);
     ports.info("part %s: taken over at epoch %s", part, epoch);
     ports.count("part.takeover");
   }
@@ -185,8 +178,7 @@
   void end(String why) {
     closed = true;
     answerParked(true);
-    asked.values().forEach(l -> l.forEach(t -> t.told(null)));
-    asked.clear();
+    questions.close();
     ports.info("part %s: epoch %s given up: %s", part, epoch, why);
     ports.count("part.given_up");
   }
@@ -222,7 +214,7 @@
       }
     }
     answerParked(false);
-    answerAsked();
+    questions.answer();
   }
 
   private void startOver() {
@@ -583,7 +575,7 @@
     j.standing = w.standing;
     j.claimed = true;
     if (w.last) {
-      ended.put(j.id(), w.standing);
+      questions.ended(j.id(), w.standing);
       forget(j);
       ports.info("job %s %s at epoch %s", j.id(), j.aborted ? "withdrawn" : "done", epoch);
       ports.count(j.aborted ? "job.withdrawn" : "job.done");
@@ -1510,85 +1502,9 @@
 
   // ---- for users -------------------------------------------------------------------------------
 
-  /** Takes what the store holds of a job now; null if this owner can't tell. */
-  interface OnStanding {
-    void told(Standing standing);
-  }
-
-  /**
-   * Answers where a job stands. One transaction that only compares finds all records in question
-   * unchanged, so no answer is older than one given elsewhere, and a burst of questions costs the
-   * state service few requests.
-   */
-  void ask(JobId id, OnStanding then) {
-    Standing end = ended.getIfPresent(id);
-    if (end != null) {
-      then.told(end);
-    } else if (!ready() || !valid() || !jobs.containsKey(id)) {
-      then.told(null);
-    } else {
-      asked.computeIfAbsent(id, k -> new ArrayList<>(1)).add(then);
-    }
-  }
-
-  private void answerAsked() {
-    if (asked.isEmpty() || asking) {
-      return;
-    }
-    Map<JobId, List<OnStanding>> batch = new LinkedHashMap<>();
-    int max = ports.config.state().txnOps() * 4;
-    for (var i = asked.entrySet().iterator(); i.hasNext() && batch.size() < max; ) {
-      var e = i.next();
-      batch.put(e.getKey(), e.getValue());
-      i.remove();
-    }
-    compare(batch, 2);
-  }
-
-  private void compare(Map<JobId, List<OnStanding>> batch, int tries) {
-    StoreMessages.Txn txn = new StoreMessages.Txn();
-    Map<JobId, Standing> sent = new HashMap<>();
-    for (JobId id : new ArrayList<>(batch.keySet())) {
-      Job j = jobs.get(id);
-      if (j == null || j.standing == null) {
-        batch.remove(id).forEach(t -> t.told(ended.getIfPresent(id)));
-      } else {
-        txn.guard(JobRecord.liveKey(id), j.stamp);
-        sent.put(id, j.standing);
-      }
-    }
-    if (batch.isEmpty()) {
-      return;
-    }
-    asking = true;
-    ports.state(
-        "POST",
-        StoreMessages.MULTI,
-        txn.body(),
-        CALL_MS / 2,
-        (status, body) -> {
-          asking = false;
-          Set<String> failed = status == 409 ? StoreMessages.failed(body) : Set.of();
-          Map<JobId, List<OnStanding>> again = new LinkedHashMap<>();
-          batch.forEach(
-              (id, l) -> {
-                if (status == 200) {
-                  l.forEach(t -> t.told(sent.get(id)));
-                } else if (status == 409
-                    && tries > 1
-                    && !failed.isEmpty()
-                    && !failed.contains(JobRecord.liveKey(id))) {
-                  // Whether a refusal names all that differ is not said: what it does not name
-                  // is compared once more.
-                  again.put(id, l);
-                } else {
-                  l.forEach(t -> t.told(ended.getIfPresent(id)));
-                }
-              });
-          if (!again.isEmpty()) {
-            compare(again, tries - 1);
-          }
-        });
+  /** Tells where a job stands, if this owner can. */
+  void ask(JobId id, Questions.OnStanding then) {
+    questions.ask(id, ready() && valid(), then);
   }
 
   // ---- for the leader ------------------------------------------------------------------------
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -54,7 +54,7 @@
 
   /** Asks the owner of a part, wherever it is. */
   interface Owners {
-    void ask(PartId part, JobId id, Steward.OnStanding then);
+    void ask(PartId part, JobId id, Questions.OnStanding then);
   }
 
   UserDesk(Ports ports, Owners owners, Relay relay) {
