--- a/src/main/java/shorecrank/config/TuningFile.java
+++ b/src/main/java/shorecrank/config/TuningFile.java
@@ -21,7 +21,7 @@
     LEADER_TTL_MS("leader_ttl_ms", 1000, 60_000, 5000),
     GRACE_MS("grace_ms", 0, 600_000, 60_000),
     STATE_FRESH_MS("state_fresh_ms", 500, 60_000, 3000),
-    SAMPLE_SIZE("sample_size", 1, 10_000, 8),
+    SAMPLE_SIZE("sample_size", 1, 10_000, 32),
     ROUND_MS("round_ms", 5, 5000, 50),
     ROUND_BUDGET_MS("round_budget_ms", 1, 5000, 15),
     MERGE_MS("merge_ms", 0, 2000, 800),
