--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -44,6 +44,10 @@
   /** After so long without a leader's answer, what it said of owners is looked up in the store. */
   private static final int STALE_MS = 2500;
 
+  private static final int YOUNG_MS = 8000;
+  private static final int SHELTER_MS = 2500;
+  private static final int MAX_SHELTERED = 2000;
+
   /** So long without the state service, while others reach it, and users are better off there. */
   private static final int UNHEALTHY_MS = 3000;
 
@@ -58,7 +62,9 @@
   private final Map<PartId, Map<JobId, List<Questions.OnStanding>>> questions = new TreeMap<>();
   private long lendVersion = -1;
   private Mono beatAt = new Mono(0);
-  private Mono answeredAt = new Mono(0);
+  private Mono answeredAt = Mono.NEVER;
+  private Mono startedAt = Mono.NEVER;
+  private final List<Sheltered> sheltered = new ArrayList<>();
   private boolean ownersBusy;
   private Mono ownersAt = new Mono(0);
   private boolean beating;
@@ -87,6 +93,9 @@
    */
   public List<Output> step(Input in, Mono now, long wallMs, long entropy) {
     ports.begin(now, wallMs, entropy);
+    if (startedAt == Mono.NEVER) {
+      startedAt = now;
+    }
     if (in instanceof Input.Request r) {
       request(r);
     } else if (in instanceof Input.Answer a) {
@@ -106,6 +115,7 @@
     }
     catalogWork();
     lookUpOwners();
+    shelter();
     if (!now.before(probeAt)) {
       probeAt = now.plus(1000);
       if (now.since(ports.stateOkAt()) > 900) {
@@ -331,13 +341,39 @@
       ports.reply(r.reply(), 400, Json.error("malformed report"));
       return;
     }
+    route(new Sheltered(r.reply(), w, ports.now()));
+  }
+
+  /** A report that waits until this process knows where it belongs. */
+  private record Sheltered(long reply, Report report, Mono since) {}
+
+  private void shelter() {
+    List<Sheltered> all = new ArrayList<>(sheltered);
+    sheltered.clear();
+    all.forEach(this::route);
+  }
+
+  private void route(Sheltered one) {
+    Report w = one.report();
+    long reply = one.reply();
     Lent known = lent.get(w.host());
+    boolean unclear = known == null ? answeredAt == Mono.NEVER : !owners.containsKey(known.part());
+    if (unclear
+        && ports.now().since(startedAt) < YOUNG_MS
+        && ports.now().since(one.since()) < SHELTER_MS
+        && sheltered.size() < MAX_SHELTERED) {
+      // A process that has just begun will know in a moment. A worker that is sent away comes back
+      // after a second at the earliest, and its lease may be short: after the end of all
+      // controllers most of the tasks would be lost by that.
+      sheltered.add(one);
+      return;
+    }
     if (known == null) {
       seen.put(w.host(), new HostInfo(w.host(), w.type(), w.zone(), w.spot()));
       beatAt = ports.now().plus(100).before(beatAt) ? ports.now().plus(100) : beatAt;
       NodeLabel l = election.leader();
       ports.reply(
-          r.reply(),
+          reply,
           421,
           WorkerMessages.elsewhere(l == null || l.equals(ports.config.label()) ? null : l));
       return;
@@ -347,15 +383,15 @@
     if (s != null) {
       boolean alone = ports.now().since(peerHeardAt) > 4000;
       if (s.valid() || s.inGrace(alone)) {
-        s.report(r.reply(), w, s.valid());
+        s.report(reply, w, s.valid());
         return;
       }
-      ports.reply(r.reply(), 503, Json.error("not entitled now"));
+      ports.reply(reply, 503, Json.error("not entitled now"));
       return;
     }
     OwnerInfo o = owners.get(part);
     ports.reply(
-        r.reply(),
+        reply,
         421,
         WorkerMessages.elsewhere(
             o == null || o.label().equals(ports.config.label()) ? null : o.label()));
--- a/src/main/java/shorecrank/coordination/Election.java
+++ b/src/main/java/shorecrank/coordination/Election.java
@@ -103,7 +103,7 @@
                   StoreMessages.grant(e.hold()),
                   null,
                   CALL_MS,
-                  (s2, b2) -> again(s2 == 200 || s2 == 404 ? Step.CAMPAIGN : Step.READ, 200));
+                  (s2, b2) -> again(s2 == 200 || s2 == 404 ? Step.CAMPAIGN : Step.READ, 20));
               return;
             }
             again(Step.WATCH, 0);
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import shorecrank.bookkeeping.Budget;
+import shorecrank.config.NodeConfig;
 import shorecrank.protocol.CloudMessages;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.CloudMessages.Listed;
@@ -549,8 +550,9 @@
           p.leaseUntil = ports.now().plus(leaseBound());
           ports.info("part %s: epoch %d minted for %s (%s)", id, next, owner, writer);
           ports.count("epoch.minted");
-          if (!owner.equals(ports.config.label())) {
-            ports.peer(owner, PeerMessages.NUDGE, Json.object(), 1000, (s, b) -> {});
+          // The owner begins at once, and the others can tell the workers where to go.
+          for (NodeConfig.Member m : ports.config.members()) {
+            ports.peer(m.label(), PeerMessages.NUDGE, Json.object(), 1000, (s, b) -> {});
           }
         });
   }
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -377,6 +377,11 @@
 
   void workerRequest(Worker w, int to, JsonNode body, BiConsumer<Integer, JsonNode> answer) {
     Node n = nodes.get(to);
+    if (!n.up && workerCut(w, n, false) == null) {
+      // The machine is there, the process is not: the connection is refused.
+      sim.after(delay(), () -> answer.accept(0, Json.parse(null)));
+      return;
+    }
     through(
         workerCut(w, n, false),
         () ->
