Three quarters of the fleet count when it is asked whether all can be in time

Cause: with all processors counted too few jobs stepped back near capacity, and many were a little late.

--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -316,6 +316,8 @@
   private void peerBeat(Input.Request r) {
     Beat b = PeerMessages.readBeat(Json.parse(r.body()));
     if (b == null) {
+      ports.info("malformed beat refused");
+      ports.count("peer.malformed");
       ports.reply(r.reply(), 400, Json.error("malformed beat"));
       return;
     }
@@ -338,6 +340,7 @@
     Report w = WorkerMessages.read(Json.parse(r.body()));
     if (w == null) {
       ports.info("malformed report refused");
+      ports.count("report.malformed");
       ports.reply(r.reply(), 400, Json.error("malformed report"));
       return;
     }
--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -35,6 +35,9 @@
   /** Tasks of a job differ, and its last one counts. */
   private static final double LAST_TASK = 1.3;
 
+  /** Machines are never all busy with what was placed best: room is lost to shapes and images. */
+  private static final double USABLE = 0.75;
+
   private record Aim(boolean start, double withinS, double times) {}
 
   /** One job in one round. */
@@ -115,11 +118,13 @@
         new PriorityQueue<>(Comparator.comparingDouble(e -> -e.work() / e.weight()));
     Set<Job> back = new HashSet<>();
     double work = busyWork;
+    double there = cpus * USABLE;
+    double coming = soonCpus * USABLE;
     for (Entry e : reachable) {
       kept.add(e);
       work += e.work();
       while (!kept.isEmpty()
-          && clearS(work, cpus, soonCpus, soonS) > Math.max(0, e.latestStartS()) + e.runS()) {
+          && clearS(work, there, coming, soonS) > Math.max(0, e.latestStartS()) + e.runS()) {
         Entry largest = kept.poll();
         work -= largest.work();
         back.add(largest.job());
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -19,6 +19,9 @@
   /** Arrivals come in bursts: somewhat more than the last peak stays. */
   private static final double SPARE = 1.15;
 
+  /** Machines usually boot in up to one and a half times the usual time. */
+  private static final double LONG_BOOT = 2;
+
   private final Ports ports;
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
@@ -174,6 +177,7 @@
     if (!steward.ready() || !steward.valid()) {
       return wants;
     }
+    Mono now = ports.now();
     Map<String, HostType> catalog = steward.catalog();
     double free = 0;
     for (Host h : steward.hosts.values()) {
@@ -181,7 +185,10 @@
         continue;
       }
       if (!h.reported()) {
-        free += h.type().cpus();
+        // One that takes far longer than usual may never come up.
+        if (now.since(h.lentSince) < LONG_BOOT * 1000 * h.type().bootS()) {
+          free += h.type().cpus();
+        }
       } else if (steward.usable(h)) {
         free += h.freeCpus();
       }
