--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -188,6 +188,7 @@
   private final Map<String, List<Cut>> workerCuts = new HashMap<>();
   private long copiesUntil = -1;
   private double copiesUpToS;
+  private boolean copiesInOrder;
   final Set<String> unheard = new HashSet<>();
   Tuning tuning;
   boolean verbose;
@@ -395,14 +396,16 @@
     if (sim.now < copiesUntil) {
       // A copy arrives late, at the same controller or at another; nobody waits for its answer.
       Node at = sim.random.nextBoolean() ? n : nodes.get(sim.random.nextInt(nodes.size()));
+      int most = (int) (copiesUpToS * 1000);
       sim.after(
-          2000 + sim.random.nextInt((int) (copiesUpToS * 1000)),
+          copiesInOrder ? most : 2000 + sim.random.nextInt(most),
           () -> request(at, false, "POST", "/v1/report", body, (s, b) -> {}));
     }
   }
 
-  /** For a while every report is delivered a second time, so much later at most. */
-  void copies(long ms, double upToS) {
+  /** For a while every report is delivered a second time, so much later at most or just so much. */
+  void copies(long ms, double upToS, boolean inOrder) {
+    copiesInOrder = inOrder;
     copiesUntil = sim.now + ms;
     copiesUpToS = upToS;
     checker.trouble(sim.now + ms + (long) (upToS * 1000) + 2000);
