A zone that falls silent is waited for, and its owner keeps its workers

The new owner took its 245 machines, a fifth of the fleet, for single silent ones and returned them after 20 s; those rented instead stood in the same zone and were up 100 s after the cut began. The old owner, alone, renewed leases for 10 s only. Ruled out: the verdict by lease; the 60 s of the grace already count there. Scenario zone-cut-owner fails without either half.

--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -26,6 +26,11 @@
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
 
+  /** When a third of the fleet, and when half of a zone, was last found silent. */
+  private Mono manySilentAt = Mono.NEVER;
+
+  private final Map<String, Mono> zoneSilentAt = new HashMap<>();
+
   /** Falling peaks of what was needed lately, the highest first. */
   private final ArrayDeque<Peak> peaks = new ArrayDeque<>();
 
@@ -44,31 +49,45 @@
     Mono now = ports.now();
     double report = ports.config.workers().reportS() * 1000;
     double lease = ports.config.workers().leaseS() * 1000;
-    int silent = 0;
-    int expected = 0;
+    Silence all = new Silence();
+    Map<String, Silence> byZone = new HashMap<>();
     for (Host h : steward.hosts.values()) {
       // One that holds tasks has run before, whether or not this owner has heard it.
-      if (h.reported() || !h.empty()) {
-        expected++;
-        silent += steward.fresh(h) ? 0 : 1;
+      if (h.info != null && (h.reported() || !h.empty())) {
+        boolean silent = !steward.fresh(h);
+        all.add(silent);
+        byZone.computeIfAbsent(h.info.zone(), z -> new Silence()).add(silent);
       }
     }
     // Many silent at once: more likely it is we who are cut off, or they have not found us yet.
-    boolean many = silent > Math.max(2, expected / 3);
+    if (all.silent > Math.max(2, all.expected / 3)) {
+      manySilentAt = now;
+    }
+    // A zone most of which is silent is cut off: its machines come back all at once, and until
+    // then none could be rented in their place.
+    byZone.forEach(
+        (zone, s) -> {
+          if (s.silent > Math.max(2, s.expected / 2)) {
+            zoneSilentAt.put(zone, now);
+          }
+        });
     // Releasing a silent machine is the quick way to be sure of its tasks, where its lease is long.
     double early = 3 * report + 4000;
-    double patience = lease - early > 10_000 ? early : lease + 30_000;
-    if (many) {
-      patience = lease + 60_000;
-    }
+    double soon = lease - early > 10_000 ? early : lease + 30_000;
+    double patient = lease + 60_000;
     balance();
     for (Host h : steward.hosts.values()) {
       long quiet = steward.silentMs(h);
+      // When it is over the last of them have a lease's time to find their way.
+      Mono cutAt =
+          h.info == null ? Mono.NEVER : zoneSilentAt.getOrDefault(h.info.zone(), Mono.NEVER);
+      boolean wait = now.since(manySilentAt) <= lease || now.since(cutAt) <= lease;
+      double patience = wait ? patient : soon;
       if (!h.reported()) {
         double boot = h.type() == null ? 60 : h.type().bootS();
         boolean holds = !h.empty();
         if (holds
-            ? quiet > (many ? patience : Math.max(15_000, early))
+            ? quiet > (wait ? patience : Math.max(15_000, early))
             : now.since(h.lentSince) > 1000 * (5 * boot + 120)) {
           if (holds || h.lent) {
             retire.add(h.name);
@@ -151,6 +170,17 @@
     }
   }
 
+  /** Of the machines that should be heard, how many are not. */
+  private static final class Silence {
+    int expected;
+    int silent;
+
+    void add(boolean isSilent) {
+      expected++;
+      silent += isSilent ? 1 : 0;
+    }
+  }
+
   private record Peak(Mono at, double cpus) {}
 
   private double queuedNeed() {
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -87,6 +87,7 @@
   private final Set<Job> dirty = new ObjectLinkedOpenHashSet<>();
 
   private Mono lookedAt = Mono.NEVER;
+  private boolean hearsFew;
   private final Map<String, double[]> teamUse = new HashMap<>();
   private Map<String, HostType> catalog = Map.of();
 
@@ -169,12 +170,34 @@
     if (ports.stateOk()) {
       // The store is there, so a leader will be: a gap between two terms.
       max = Math.min(max, ports.tuning.leaderTtlMs() + 2000L);
-    } else if (alone) {
+    } else if (alone && !hearsFew) {
       max = Math.min(max, ports.tuning.leaseMs() * 2L);
     }
     return over >= 0 && over < max;
   }
 
+  /**
+   * Whether part of the fleet has just fallen silent. Alone and with the whole fleet around it, an
+   * owner is better replaced soon; alone with a share of it, both are cut off together, and those
+   * workers have nobody else.
+   */
+  private boolean hearsFew() {
+    int heard = 0;
+    int reported = 0;
+    for (Host h : hosts.values()) {
+      if (h.reported()) {
+        reported++;
+        heard += overdue(h) ? 0 : 1;
+      }
+    }
+    return heard * 3 < reported * 2;
+  }
+
+  /** Its next report should have come by now. */
+  private boolean overdue(Host h) {
+    return silentMs(h) > ports.config.workers().reportS() * 1250 + 2000;
+  }
+
   void end(String why) {
     closed = true;
     answerParked(true);
@@ -204,6 +227,7 @@
       if (ports.now().since(lookedAt) >= LOOK_MS) {
         lookedAt = ports.now();
         verdicts();
+        hearsFew = hearsFew();
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
       }
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -97,6 +97,7 @@
       String[] a = l.split("\\s+");
       switch (a[0]) {
         case "nodes" -> nodes = Integer.parseInt(a[1]);
+        case "zones" -> w.zones = List.of(a[1].split(","));
         case "workers" -> {
           Map<String, String> o = options(a, 1);
           w.reportS = number(o, "report", w.reportS);
@@ -264,6 +265,11 @@
           w.cloud.outage(ms(a[2]));
         }
       }
+      case "zonecut" ->
+          who(w, a[1]).stream()
+              .findFirst()
+              .ifPresent(n -> w.cutZone(n.zone, null, ms(a[2]), mode(a, 3)));
+      case "partition" -> w.cutZone(a[1], a[2], ms(a[3]), mode(a, 4));
       case "hang" -> machines(w, a[1]).forEach(x -> x.hang(ms(a[2])));
       case "silence" ->
           machines(w, a[1]).forEach(x -> w.cutWorker(x, "worker", ms(a[2]), mode(a, 3)));
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -60,9 +60,24 @@
 
   private record Cut(String what, long until, Mode mode, List<Runnable> held) {}
 
+  /**
+   * Two zones that can't reach each other, or one that reaches nothing outside if other is null.
+   */
+  private record ZoneCut(String zone, String other, Cut cut) {
+    boolean between(String a, String b) {
+      return other == null
+          ? a.equals(zone) != b.equals(zone)
+          : (a.equals(zone) && b.equals(other)) || (a.equals(other) && b.equals(zone));
+    }
+  }
+
+  /** Users, the state service and the cloud are in no zone. */
+  private static final String REGIONAL = "";
+
   final class Node {
     final int index;
     final String label;
+    final String zone;
     Core core;
     int life;
     boolean up;
@@ -77,6 +92,7 @@
     Node(int index) {
       this.index = index;
       this.label = "n" + index;
+      this.zone = zones.get(index % zones.size());
       this.clock = 1 + (sim.random.nextDouble() - 0.5) * 0.001;
       this.clockOffset = sim.random.nextInt(1_000_000);
     }
@@ -186,6 +202,11 @@
   }
 
   private final Map<String, List<Cut>> workerCuts = new HashMap<>();
+  private final List<ZoneCut> zoneCuts = new ArrayList<>();
+
+  /** The zones that controllers are in, in turn. */
+  List<String> zones = List.of("a");
+
   private long copiesUntil = -1;
   private double copiesUpToS;
   private boolean copiesInOrder;
@@ -219,7 +240,7 @@
   }
 
   private NodeConfig config(Node n) {
-    ObjectNode c = Json.object().put("label", n.label).put("location", "a");
+    ObjectNode c = Json.object().put("label", n.label).put("location", n.zone);
     c.put("public_addr", "10.0.0." + (n.index + 1) + ":80");
     c.put("peer_bind", "10.0.0." + (n.index + 1) + ":81");
     var members = c.putArray("members");
@@ -228,7 +249,7 @@
         members
             .addObject()
             .put("label", o.label)
-            .put("location", "a")
+            .put("location", o.zone)
             .put("addr", "10.0.0." + (o.index + 1) + ":81");
       }
     }
@@ -287,6 +308,23 @@
     sim.after(ms, () -> c.held.forEach(Runnable::run));
   }
 
+  /** Cuts a zone off from everything, or from one other. */
+  void cutZone(String zone, String other, long ms, Mode mode) {
+    checker.trouble(sim.now + ms);
+    Cut c = new Cut("zone", sim.now + ms, mode, new ArrayList<>());
+    zoneCuts.add(new ZoneCut(zone, other, c));
+    sim.after(ms, () -> c.held.forEach(Runnable::run));
+  }
+
+  private Cut zoneCut(String a, String b) {
+    for (ZoneCut z : zoneCuts) {
+      if (z.cut.until > sim.now && z.between(a, b)) {
+        return z.cut;
+      }
+    }
+    return null;
+  }
+
   /** {@code what} is "worker" for both ways, or "answers" for those to the worker alone. */
   void cutWorker(Worker w, String what, long ms, Mode mode) {
     checker.trouble(sim.now + ms);
@@ -301,7 +339,8 @@
         return c;
       }
     }
-    return n.cut("workers");
+    Cut c = n.cut("workers");
+    return c != null ? c : zoneCut(n.zone, w.zone);
   }
 
   private void call(Node from, Output.Call c) {
@@ -319,16 +358,15 @@
         c.target() instanceof Output.Peer
             ? "peers"
             : c.target() == Output.Service.STATE ? "state" : "cloud";
-    Cut cut = from.cut(kind);
+    Cut cut = regionalCut(from, kind);
     if (cut != null && cut.mode == Mode.REFUSE) {
       sim.after(delay(), () -> back.accept(503, Json.error("trouble")));
       return;
     }
     if (c.target() instanceof Output.Peer p) {
       Node to = nodes.get(index(p.label().value()));
-      Cut theirs = to.cut("peers");
       through(
-          cut != null ? cut : theirs,
+          peerCut(from, to),
           () -> {
             if (to.up) {
               request(
@@ -337,13 +375,13 @@
                   c.method(),
                   c.path(),
                   c.body(),
-                  (s, b) -> through(answerCut(from, to), () -> back.accept(s, b)));
+                  (s, b) -> through(peerCut(to, from), () -> back.accept(s, b)));
             }
           });
       return;
     }
     BiConsumer<Integer, JsonNode> reply =
-        (s, b) -> through(from.cut(kind), () -> back.accept(s, b));
+        (s, b) -> through(regionalCut(from, kind), () -> back.accept(s, b));
     through(
         cut,
         () -> {
@@ -355,9 +393,15 @@
         });
   }
 
-  private static Cut answerCut(Node a, Node b) {
+  private Cut peerCut(Node a, Node b) {
     Cut c = a.cut("peers");
-    return c != null ? c : b.cut("peers");
+    c = c != null ? c : b.cut("peers");
+    return c != null ? c : zoneCut(a.zone, b.zone);
+  }
+
+  private Cut regionalCut(Node n, String kind) {
+    Cut c = n.cut(kind);
+    return c != null || kind.equals("peers") ? c : zoneCut(n.zone, REGIONAL);
   }
 
   void request(
@@ -464,7 +508,7 @@
       return;
     }
     through(
-        n.cut("users"),
+        regionalCut(n, "users"),
         () ->
             request(n, false, method, path, body, (s, b) -> sim.after(1, () -> once.accept(s, b))));
   }
