The part moves when workers reach other controllers but not its owner

Ruled out: the deaf-machine rule (reports did not arrive either), the lease (it was renewed all the time). A beat names at most 500 machines met.

--- a/src/main/java/shorecrank/config/NodeConfig.java
+++ b/src/main/java/shorecrank/config/NodeConfig.java
@@ -31,7 +31,7 @@
     }
   }
 
-  public record Member(NodeLabel label, Address addr) {}
+  public record Member(NodeLabel label, String location, Address addr) {}
 
   /** A maximum of 0 means none. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
@@ -65,7 +65,9 @@
     for (JsonNode m : n.path("members")) {
       members.add(
           new Member(
-              new NodeLabel(text(m, "label", "members.label")), addr(m, "addr", "members.")));
+              new NodeLabel(text(m, "label", "members.label")),
+              m.path("location").asText(""),
+              addr(m, "addr", "members.")));
     }
     JsonNode s = n.path("settings");
     Map<String, Team> teams = new TreeMap<>();
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -47,6 +47,10 @@
   private static final int YOUNG_MS = 8000;
   private static final int SHELTER_MS = 2500;
   private static final int MAX_SHELTERED = 2000;
+  private static final int MAX_SEEN = 500;
+
+  /** A worker that was sent to its owner and is not back after so long has found it. */
+  private static final int STRAY_MS = 8000;
 
   /** So long without the state service, while others reach it, and users are better off there. */
   private static final int UNHEALTHY_MS = 3000;
@@ -59,6 +63,7 @@
   private final Map<PartId, OwnerInfo> owners = new TreeMap<>();
   private final Map<HostName, Lent> lent = new LinkedHashMap<>();
   private final Map<HostName, HostInfo> seen = new LinkedHashMap<>();
+  private final Map<HostName, Mono> strays = new HashMap<>();
   private final Map<PartId, Map<JobId, List<Questions.OnStanding>>> questions = new TreeMap<>();
   private long lendVersion = -1;
   private Mono beatAt = new Mono(0);
@@ -288,6 +293,29 @@
         .add(then);
   }
 
+  /** Machines met here; what does not fit into one message goes with the next. */
+  private List<HostInfo> someSeen() {
+    List<HostInfo> some = new ArrayList<>();
+    for (var i = seen.values().iterator(); i.hasNext() && some.size() < MAX_SEEN; ) {
+      some.add(i.next());
+      i.remove();
+    }
+    return some;
+  }
+
+  /** Workers that came here lately instead of to their owner. */
+  private Map<PartId, Integer> strays() {
+    strays.values().removeIf(at -> ports.now().since(at) > STRAY_MS);
+    Map<PartId, Integer> byPart = new TreeMap<>();
+    for (HostName h : strays.keySet()) {
+      Lent l = lent.get(h);
+      if (l != null) {
+        byPart.merge(l.part(), 1, Integer::sum);
+      }
+    }
+    return byPart;
+  }
+
   /** All questions since the last round go to an owner in one message. */
   private void sendQuestions() {
     questions.forEach(
@@ -392,6 +420,7 @@
       ports.reply(reply, 503, Json.error("not entitled now"));
       return;
     }
+    strays.put(w.host(), ports.now());
     OwnerInfo o = owners.get(part);
     ports.reply(
         reply,
@@ -416,8 +445,8 @@
             ports.stateOk(),
             lendVersion,
             parts,
-            new ArrayList<>(seen.values()));
-    seen.clear();
+            someSeen(),
+            strays());
     if (election.holding()) {
       BeatAnswer a = leader.beat(b);
       if (a != null) {
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -32,6 +32,7 @@
 import shorecrank.protocol.PeerMessages.Beat;
 import shorecrank.protocol.PeerMessages.BeatAnswer;
 import shorecrank.protocol.PeerMessages.Blocked;
+import shorecrank.protocol.PeerMessages.Hearing;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.Lease;
 import shorecrank.protocol.PeerMessages.Lent;
@@ -57,6 +58,7 @@
     boolean stateOk;
     Mono stateBadSince = Mono.NEVER;
     Mono heard = Mono.NEVER;
+    Map<PartId, Integer> strays = Map.of();
   }
 
   private static final class Part {
@@ -68,6 +70,14 @@
     boolean revoking;
     boolean minting;
     boolean queued;
+
+    /**
+     * Whom the workers don't reach, and in which zones they are, when it was last moved for that.
+     */
+    NodeLabel unreached;
+
+    List<String> unreachedBy = List.of();
+    Mono movedAt = Mono.NEVER;
   }
 
   private static final class Host {
@@ -92,6 +102,12 @@
 
   private static final int SAVE_PAUSE_MS = 1000;
 
+  /** A part is not moved again so soon for its owner's bad hearing. */
+  private static final int MOVE_PAUSE_MS = 20_000;
+
+  /** So long an owner that workers did not reach is not chosen again. */
+  private static final int AVOID_MS = 60_000;
+
   /** A kind that was refused is asked for again after so long, then twice that, up to the most. */
   private static final long BLOCK_MS = 4_000;
 
@@ -318,6 +334,7 @@
       node.stateBadSince = now;
     }
     node.stateOk = b.stateOk();
+    node.strays = b.strays();
 
     List<Lease> leases = new ArrayList<>();
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
@@ -352,6 +369,20 @@
       if (pb != null) {
         takeFence(e.getKey(), p, pb);
         p.queued = pb.queued();
+        if (unreached(e.getKey(), p, pb.hearing())) {
+          ports.info(
+              "part %s: %s hears %d of %d machines, others hear them: taken back",
+              e.getKey(),
+              p.owner,
+              pb.hearing().expected() - pb.hearing().unheard(),
+              pb.hearing().expected());
+          ports.count("part.unreached");
+          p.unreached = p.owner;
+          p.unreachedBy = pb.hearing().deafTo();
+          p.movedAt = now;
+          p.revoking = true;
+          continue;
+        }
       }
       p.leaseUntil = now.plus(leaseBound());
       leases.add(new Lease(e.getKey(), p.epoch, ports.tuning.leaseMs()));
@@ -372,6 +403,46 @@
     return answer(b, leases);
   }
 
+  /**
+   * Whether many workers don't reach the part's owner but do reach other controllers, one of which
+   * all of them are likely to reach. Their leases would run out, although nothing is wrong with
+   * them.
+   */
+  private boolean unreached(PartId id, Part p, Hearing h) {
+    Mono now = ports.now();
+    if (h.unheard() < 2 || h.unheard() * 5 < h.expected() || now.since(p.movedAt) < MOVE_PAUSE_MS) {
+      return false;
+    }
+    int elsewhere = 0;
+    boolean another = false;
+    for (Map.Entry<NodeLabel, Node> e : nodes.entrySet()) {
+      Node n = e.getValue();
+      if (e.getKey().equals(p.owner) || !canServe(n)) {
+        continue;
+      }
+      elsewhere += n.strays.getOrDefault(id, 0);
+      // Few are worth a move only to where the rest is not lost for them.
+      another |=
+          h.unheard() * 3 > h.expected() * 2
+              || !(h.deafTo().contains(location(e.getKey()))
+                  || location(e.getKey()).equals(location(p.owner)));
+    }
+    return another && elsewhere * 2 >= h.unheard();
+  }
+
+  private boolean canServe(Node n) {
+    return n.stateOk && ports.now().since(n.heard) <= ports.tuning.renewMs() * 2L + 500;
+  }
+
+  private String location(NodeLabel l) {
+    for (NodeConfig.Member m : ports.config.members()) {
+      if (m.label().equals(l)) {
+        return m.location();
+      }
+    }
+    return ports.config.zone();
+  }
+
   private boolean anyOtherOk(NodeLabel not) {
     if (!not.equals(ports.config.label()) && ports.stateOk()) {
       return true;
@@ -468,10 +539,16 @@
       int bestLoad = Integer.MAX_VALUE;
       for (Map.Entry<NodeLabel, Node> n : nodes.entrySet()) {
         Node x = n.getValue();
-        if (!x.stateOk || now.since(x.heard) > ports.tuning.renewMs() * 2L + 500) {
+        if (!canServe(x)) {
           continue;
         }
         int load = n.getKey().equals(ports.config.label()) ? 1 : 0;
+        if (p.unreached != null && now.since(p.movedAt) < AVOID_MS) {
+          // Rather one that the workers reach: not the last, and not in its zone or in theirs.
+          String at = location(n.getKey());
+          load += n.getKey().equals(p.unreached) ? 1_000_000 : 0;
+          load += at.equals(location(p.unreached)) || p.unreachedBy.contains(at) ? 1000 : 0;
+        }
         for (Part q : parts.values()) {
           if (q != p && !q.vacant && n.getKey().equals(q.owner)) {
             load += 2;
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -28,6 +28,7 @@
 import shorecrank.protocol.Ids.Stamp;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
+import shorecrank.protocol.PeerMessages.Hearing;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.Lent;
 import shorecrank.protocol.PeerMessages.PartBeat;
@@ -193,6 +194,32 @@
     return heard * 3 < reported * 2;
   }
 
+  /** Whom this owner should hear and does not, for the leader to compare with what others hear. */
+  private Hearing hearing() {
+    int expected = 0;
+    int unheard = 0;
+    Map<String, int[]> byZone = new TreeMap<>();
+    for (Host h : hosts.values()) {
+      if (h.info != null && h.lent && (h.reported() || !h.empty())) {
+        int[] zone = byZone.computeIfAbsent(h.info.zone(), z -> new int[2]);
+        expected++;
+        zone[0]++;
+        if (overdue(h)) {
+          unheard++;
+          zone[1]++;
+        }
+      }
+    }
+    List<String> deafTo = new ArrayList<>();
+    byZone.forEach(
+        (zone, n) -> {
+          if (n[1] * 2 > n[0]) {
+            deafTo.add(zone);
+          }
+        });
+    return new Hearing(expected, unheard, deafTo);
+  }
+
   /** Its next report should have come by now. */
   private boolean overdue(Host h) {
     return silentMs(h) > ports.config.workers().reportS() * 1250 + 2000;
@@ -1550,6 +1577,7 @@
       }
     }
     boolean queued = !ready() || jobs.values().stream().anyMatch(j -> j.queued() > 0);
-    return new PartBeat(part, epoch, fenced, queued, renting.wants(), retire, spare, back);
+    return new PartBeat(
+        part, epoch, fenced, queued, hearing(), renting.wants(), retire, spare, back);
   }
 }
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -37,24 +37,30 @@
 
   public record Want(Offer offer, int count) {}
 
+  /** Of the machines that an owner should hear, how many it does not, and where they are most. */
+  public record Hearing(int expected, int unheard, List<String> deafTo) {}
+
   /** What an owner says of one part. {@code fenced} is an epoch that refused it, or NONE. */
   public record PartBeat(
       PartId part,
       Epoch epoch,
       Epoch fenced,
       boolean queued,
+      Hearing hearing,
       List<Want> wants,
       List<HostName> retire,
       List<HostName> spare,
       List<HostName> handedBack) {}
 
+  /** {@code strays} counts, by part, workers that lately came here and were sent to its owner. */
   public record Beat(
       NodeLabel from,
       WriterId writer,
       boolean stateOk,
       long lendVersion,
       List<PartBeat> parts,
-      List<HostInfo> seen) {}
+      List<HostInfo> seen,
+      Map<PartId, Integer> strays) {}
 
   public record Lease(PartId part, Epoch epoch, long ttlMs) {}
 
@@ -88,6 +94,9 @@
       ObjectNode o = ps.addObject();
       o.put("part", p.part.value()).put("epoch", p.epoch.value()).put("fenced", p.fenced.value());
       o.put("queued", p.queued);
+      o.put("expected", p.hearing.expected).put("unheard", p.hearing.unheard);
+      ArrayNode deaf = o.putArray("deafTo");
+      p.hearing.deafTo.forEach(deaf::add);
       ArrayNode ws = o.putArray("wants");
       for (Want w : p.wants) {
         offer(ws.addObject(), w.offer).put("count", w.count);
@@ -98,6 +107,8 @@
     }
     ArrayNode seen = n.putArray("seen");
     b.seen.forEach(h -> host(seen.addObject(), h));
+    ArrayNode strays = n.putArray("strays");
+    b.strays.forEach((p, count) -> strays.addArray().add(p.value()).add(count));
     return n;
   }
 
@@ -112,12 +123,15 @@
     for (JsonNode p : n.path("parts")) {
       List<Want> wants = new ArrayList<>();
       p.path("wants").forEach(w -> wants.add(new Want(offer(w), w.path("count").asInt())));
+      List<String> deafTo = new ArrayList<>();
+      p.path("deafTo").forEach(z -> deafTo.add(z.asText()));
       parts.add(
           new PartBeat(
               new PartId(p.path("part").asInt()),
               new Epoch(p.path("epoch").asLong()),
               new Epoch(p.path("fenced").asLong()),
               p.path("queued").asBoolean(),
+              new Hearing(p.path("expected").asInt(), p.path("unheard").asInt(), deafTo),
               wants,
               names(p.path("retire")),
               names(p.path("spare")),
@@ -125,13 +139,17 @@
     }
     List<HostInfo> seen = new ArrayList<>();
     n.path("seen").forEach(h -> seen.add(host(h)));
+    Map<PartId, Integer> strays = new HashMap<>();
+    n.path("strays")
+        .forEach(s -> strays.put(new PartId(s.path(0).asInt()), Math.max(0, s.path(1).asInt())));
     return new Beat(
         new NodeLabel(from),
         new WriterId(writer),
         n.path("stateOk").asBoolean(),
         n.path("ver").asLong(-1),
         parts,
-        seen);
+        seen,
+        strays);
   }
 
   public static ObjectNode write(BeatAnswer a) {
