--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -42,6 +42,9 @@
     /** Its start went out in the answer to the machine's last report. */
     boolean ordered;
 
+    /** Its start went out at least once. */
+    boolean commanded;
+
     TaskState state;
     boolean revoked;
     boolean yielded;
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -254,6 +254,7 @@
       if (ports.now().since(lookedAt) >= LOOK_MS) {
         lookedAt = ports.now();
         verdicts();
+        usage();
         hearsFew = hearsFew();
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
@@ -879,6 +880,42 @@
     return h.known && silentMs(h) < ports.config.workers().reportS() * 2500 + 1500;
   }
 
+  /** What the part's processors do: where time goes while jobs wait. */
+  private void usage() {
+    double there = 0;
+    double commanded = 0;
+    double pulling = 0;
+    double running = 0;
+    double taken = 0;
+    for (Host h : hosts.values()) {
+      if (h.type() == null || !fresh(h)) {
+        continue;
+      }
+      there += h.type().cpus();
+      taken += h.usedCpus();
+      for (LiveTask t : h.live) {
+        double cpus = t.job.spec.cpus();
+        if (t.state == null) {
+          commanded += cpus;
+        } else if (t.state == TaskState.PULLING) {
+          pulling += cpus;
+        } else {
+          running += cpus;
+        }
+      }
+    }
+    double waiting = 0;
+    for (Job j : jobs.values()) {
+      waiting += j.queued() * j.spec.cpus();
+    }
+    ports.gauge("cpus.heard", there);
+    ports.gauge("cpus.taken", taken);
+    ports.gauge("cpus.commanded", commanded);
+    ports.gauge("cpus.pulling", pulling);
+    ports.gauge("cpus.running", running);
+    ports.gauge("cpus.waited_for", waiting);
+  }
+
   private void verdicts() {
     ports.count("round.looks", hosts.size());
     for (Host h : hosts.values()) {
@@ -1007,7 +1044,9 @@
       return;
     }
     for (Host h : new ArrayList<>(parked)) {
-      if (all || !ports.now().before(h.parkedUntil) || settled(h)) {
+      boolean settled = settled(h);
+      if (all || !ports.now().before(h.parkedUntil) || settled) {
+        ports.count(settled ? "report.parked.settled" : "report.parked.expired");
         parked.remove(h);
         long reply = h.parked;
         h.parked = -1;
@@ -1132,6 +1171,11 @@
           && !h.retiring) {
         orders.add(new Start(l.run()));
         l.ordered = true;
+        if (!l.commanded) {
+          l.commanded = true;
+          ports.count("task.commanded");
+          ports.count("task.commanded.ms", ports.now().since(l.placedAt));
+        }
       }
     }
     return orders;
@@ -1160,6 +1204,8 @@
       case RUNNING -> {
         if (l.runningSince == null) {
           l.runningSince = now;
+          ports.count("task.running");
+          ports.count("task.running.ms", now.since(l.placedAt));
         }
         h.holds(j.spec);
       }
