Jobs near the front go first where their image is

In a full fleet room comes free on one machine at a time, and the job whose turn it was hardly ever found its image there. Ruled out: the command (2% of processors), the store's budget (5 of 3,000 answers held for a commit left without it). Now the eight jobs after the urgent ones (under 3 s of slack) first get room where their image is or is being fetched; then all get room in order.

--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -1,6 +1,7 @@
 package shorecrank.coordination;
 
 import it.unimi.dsi.fastutil.objects.Object2DoubleLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.List;
@@ -76,6 +77,9 @@
   private final Object2DoubleLinkedOpenHashMap<String> images =
       new Object2DoubleLinkedOpenHashMap<>();
 
+  /** Tasks on it by their image: one of them fetches it for all. */
+  private final Object2IntOpenHashMap<String> wanted = new Object2IntOpenHashMap<>();
+
   private double cpus;
   private double gpus;
   private double memoryGb;
@@ -107,12 +111,19 @@
 
   void add(LiveTask t) {
     if (live.add(t)) {
+      wanted.addTo(t.job.spec.image(), 1);
       use(t.job.spec, 1);
     }
   }
 
   void remove(LiveTask t) {
-    if (live.remove(t) && !t.yielded) {
+    if (!live.remove(t)) {
+      return;
+    }
+    if (wanted.addTo(t.job.spec.image(), -1) <= 1) {
+      wanted.removeInt(t.job.spec.image());
+    }
+    if (!t.yielded) {
       use(t.job.spec, -1);
     }
   }
@@ -133,7 +144,15 @@
   }
 
   double fetchSeconds(JobSpec s) {
-    return images.containsKey(s.image()) ? 0 : s.imageGb() / Math.max(0.01, type.fetchGbPerS());
+    if (images.containsKey(s.image())) {
+      return 0;
+    }
+    double all = s.imageGb() / Math.max(0.01, type.fetchGbPerS());
+    return wanted.containsKey(s.image()) ? all / 2 : all;
+  }
+
+  boolean holdsOrFetches(JobSpec s) {
+    return images.containsKey(s.image()) || wanted.containsKey(s.image());
   }
 
   void addGhost(Job j, int index) {
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -117,6 +117,10 @@
   final Map<TaskRun, Long> exits = new HashMap<>();
 
   Mono placeAfter = Mono.NEVER;
+
+  /** Seconds until it must get room to reach an aim, as found when jobs were last put in order. */
+  double slackS;
+
   final Set<HostName> failedOn = new ObjectOpenHashSet<>();
   int backoff;
 
--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -101,13 +101,16 @@
       learn(j);
       if (overdue(j, wall)) {
         first.add(j);
+        j.slackS = 0;
         continue;
       }
       Entry e = entry(j, fetchGbPerS, wall);
       if (e == null) {
         rest.add(j);
+        j.slackS = Double.MAX_VALUE;
       } else {
         reachable.add(e);
+        j.slackS = e.latestStartS();
       }
     }
     first.sort(Comparator.comparingLong((Job j) -> j.acceptedAtMs).thenComparing(Job::id));
@@ -138,6 +141,7 @@
     for (Entry e : reachable) {
       if (back.contains(e.job())) {
         rest.add(e.job());
+        e.job().slackS = Double.MAX_VALUE;
       } else {
         order.add(e.job());
       }
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -52,6 +52,12 @@
   private static final int TXN_BYTES = 56 * 1024;
   private static final int WATCH_PAUSE_MS = 250;
 
+  /** With less time left than this a job does not wait for a machine that holds its image. */
+  private static final double URGENT_S = 3;
+
+  /** So many jobs after the urgent ones may go before others where their image is. */
+  private static final int NEAR = 8;
+
   /** How often all machines and jobs are looked at; the rounds between look at what changed. */
   private static final int LOOK_MS = 1000;
 
@@ -1343,10 +1349,12 @@
     waiting = sorted(waiting);
     // A round that ran out of time goes on where it stopped.
     int start = 0;
+    boolean goesOn = false;
     if (cursor != null) {
       for (int i = 0; i < waiting.size(); i++) {
         if (waiting.get(i).id().equals(cursor)) {
           start = i;
+          goesOn = true;
         }
       }
     }
@@ -1355,17 +1363,45 @@
     for (Job j : jobs.values()) {
       allClaimed &= j.claimed || (j.epoch.value() == 0 && !j.claimFirst);
     }
+    int urgent = 0;
+    while (urgent < waiting.size() && waiting.get(urgent).slackS < URGENT_S) {
+      urgent++;
+    }
+    if (!goesOn) {
+      // The most urgent take what there is. Of those that follow, some find their image where there
+      // is room: a fetch would keep that room idle for seconds.
+      for (int i = 0; i < Math.min(waiting.size(), urgent + NEAR) && !budget.spent(); i++) {
+        Job j = waiting.get(i);
+        if (i < urgent) {
+          place(j, allClaimed, room);
+          start = i + 1;
+        } else {
+          List<Host> holders = new ArrayList<>();
+          for (Host h : room) {
+            if (h.holdsOrFetches(j.spec)) {
+              holders.add(h);
+            }
+          }
+          if (!holders.isEmpty()) {
+            place(j, allClaimed, holders);
+            room.removeIf(h -> h.freeCpus() <= 1e-9);
+          }
+        }
+      }
+    }
     for (int i = start; i < waiting.size(); i++) {
       if (budget.spent()) {
         cursor = waiting.get(i).id();
         return;
       }
-      Job j = waiting.get(i);
-      NodeConfig.Team team = ports.config.teams().get(j.spec.team());
-      if (limited(team) && !allClaimed) {
-        // Until every record is claimed, a late write of the last owner may add to the team's use.
-        continue;
-      }
+      place(waiting.get(i), allClaimed, room);
+    }
+  }
+
+  private void place(Job j, boolean allClaimed, List<Host> room) {
+    NodeConfig.Team team = ports.config.teams().get(j.spec.team());
+    // Until every record is claimed, a late write of the last owner may add to the team's use.
+    if (allClaimed || !limited(team)) {
       place(j, team, room);
     }
   }
--- a/src/main/java/shorecrank/daemon/Main.java
+++ b/src/main/java/shorecrank/daemon/Main.java
@@ -84,7 +84,12 @@
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     if (parsed.hasMatchedOption("--rehearse")) {
-      Rehearsal.run();
+      try {
+        Rehearsal.run();
+      } catch (Exception e) {
+        // Threads that were started would keep a process alive that has failed, and a build waiting.
+        return complain("the rehearsal failed: " + e);
+      }
       return 0;
     }
     Path configFile = parsed.matchedOptionValue("--config", null);
--- a/src/main/java/shorecrank/daemon/Rehearsal.java
+++ b/src/main/java/shorecrank/daemon/Rehearsal.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import shorecrank.config.NodeConfig;
 import shorecrank.config.TuningFile;
 
@@ -64,7 +65,8 @@
       throws IOException, InterruptedException {
     HttpRequest.Builder b =
         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
-            .version(HttpClient.Version.HTTP_1_1);
+            .version(HttpClient.Version.HTTP_1_1)
+            .timeout(Duration.ofSeconds(5));
     HttpRequest r =
         body == null ? b.GET().build() : b.POST(HttpRequest.BodyPublishers.ofString(body)).build();
     c.send(r, HttpResponse.BodyHandlers.ofByteArray());
