--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -98,7 +98,7 @@
   private record Claim(String name, Offer offer, int count, PartId part) {}
 
   /** So many claims are under way at once. */
-  private static final int MAX_CLAIMS = 4;
+  private static final int MAX_CLAIMS = 8;
 
   private static final int SAVE_PAUSE_MS = 1000;
 
@@ -159,7 +159,7 @@
     this.ports = ports;
     this.election = election;
     // Other controllers read the catalog now and then.
-    this.cloudCalls = new Budget(ports.config.cloud().rps() * 0.7);
+    this.cloudCalls = new Budget(ports.config.cloud().rps() * 0.9);
   }
 
   void catalog(Map<String, HostType> c) {
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -22,10 +22,18 @@
   /** Machines usually boot in up to one and a half times the usual time. */
   private static final double LONG_BOOT = 2;
 
+  /** So long after a refusal a kind is asked for in small numbers. */
+  private static final long SCARCE_MS = 60_000;
+
+  private static final int PROBE = 10;
+
   private final Ports ports;
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
 
+  /** When a kind was last known to be used up. */
+  private final Map<Offer, Mono> refusedAt = new HashMap<>();
+
   /** When a third of the fleet, and when half of a zone, was last found silent. */
   private Mono manySilentAt = Mono.NEVER;
 
@@ -41,7 +49,11 @@
 
   void blocked(List<Blocked> l) {
     blocked.clear();
-    l.forEach(b -> blocked.put(b.offer(), ports.now().plus(b.forMs())));
+    l.forEach(
+        b -> {
+          blocked.put(b.offer(), ports.now().plus(b.forMs()));
+          refusedAt.put(b.offer(), ports.now());
+        });
   }
 
   /** Machines to be given back: broken, silent, or idle for a while. */
@@ -279,7 +291,10 @@
         double cover = Math.min(eligible, deficit / (alike - i));
         // A small overhang waits for room, but not for ever: a job no machine can serve needs one.
         int count = (int) Math.ceil(cover / t.cpus() - slack);
-        if (count > 0) {
+        if (count > 0 && now.since(refusedAt.getOrDefault(o, Mono.NEVER)) < SCARCE_MS) {
+          // Most likely still used up: asked for again, but others are not put off for it.
+          wants.add(new Want(o, Math.min(count, PROBE)));
+        } else if (count > 0) {
           wants.add(new Want(o, count));
           deficit -= count * t.cpus();
         }
--- a/src/main/java/shorecrank/daemon/Main.java
+++ b/src/main/java/shorecrank/daemon/Main.java
@@ -87,7 +87,8 @@
       try {
         Rehearsal.run();
       } catch (Exception e) {
-        // Threads that were started would keep a process alive that has failed, and a build waiting.
+        // Threads that were started would keep a process alive that has failed, and a build
+        // waiting.
         return complain("the rehearsal failed: " + e);
       }
       return 0;
--- a/src/main/java/shorecrank/daemon/Rehearsal.java
+++ b/src/main/java/shorecrank/daemon/Rehearsal.java
@@ -17,21 +17,14 @@
  * the processor time.
  */
 final class Rehearsal {
+  private static final int TRIES = 5;
+
   private Rehearsal() {}
 
   static void run() throws Exception {
-    int pub = freePort();
-    int peer = freePort();
-    String text =
-        """
-        {"label":"a","location":"z","public_addr":"127.0.0.1:%1$d","peer_bind":"127.0.0.1:%2$d",
-         "members":[{"label":"b","location":"z","addr":"127.0.0.1:%2$d"}],
-         "endpoints":{"cloud":"127.0.0.1:%1$d","state":"127.0.0.1:%1$d"},
-         "settings":{"teams":[{"name":"t"}],"objectives":[]}}
-        """
-            .formatted(pub, peer);
-    NodeConfig config = NodeConfig.read(text.getBytes(StandardCharsets.UTF_8));
-    new Daemon(config, TuningFile.defaults(), "rehearsal").start();
+    int[] ports = start(TRIES);
+    int pub = ports[0];
+    int peer = ports[1];
     HttpClient client = HttpClient.newHttpClient();
     String job =
         """
@@ -61,6 +54,30 @@
     }
   }
 
+  /** Starts a controller on two free ports, on others if somebody was quicker. */
+  private static int[] start(int tries) throws Exception {
+    int pub = freePort();
+    int peer = freePort();
+    String text =
+        """
+        {"label":"a","location":"z","public_addr":"127.0.0.1:%1$d","peer_bind":"127.0.0.1:%2$d",
+         "members":[{"label":"b","location":"z","addr":"127.0.0.1:%2$d"}],
+         "endpoints":{"cloud":"127.0.0.1:%1$d","state":"127.0.0.1:%1$d"},
+         "settings":{"teams":[{"name":"t"}],"objectives":[]}}
+        """
+            .formatted(pub, peer);
+    NodeConfig config = NodeConfig.read(text.getBytes(StandardCharsets.UTF_8));
+    try {
+      new Daemon(config, TuningFile.defaults(), "rehearsal").start();
+      return new int[] {pub, peer};
+    } catch (Exception e) {
+      if (tries <= 1) {
+        throw e;
+      }
+      return start(tries - 1);
+    }
+  }
+
   private static void send(HttpClient c, int port, String path, String body)
       throws IOException, InterruptedException {
     HttpRequest.Builder b =
