--- a/src/main/java/shorecrank/transport/HttpClientPool.java
+++ b/src/main/java/shorecrank/transport/HttpClientPool.java
@@ -50,6 +50,10 @@
     this.maxOpen = maxOpen;
   }
 
+  int open() {
+    return open;
+  }
+
   /** Calls under way or waiting for a connection. */
   int pending() {
     return open - free.size() + waiting.size();
--- a/src/main/java/shorecrank/transport/HttpServer.java
+++ b/src/main/java/shorecrank/transport/HttpServer.java
@@ -31,40 +31,66 @@
     void request(Exchange exchange, String method, String path, byte[] body);
   }
 
+  /** Of users and workers, as the protocol has it. */
   static final int MAX_BODY = 64 * 1024;
-  private static final int IDLE_S = 120;
+
+  /** Of other controllers: a message may be about all machines. */
+  static final int MAX_PEER_BODY = 512 * 1024;
+
+  /** Also answered in a crowd: a controller that is full is not a dead one. */
+  private static final String HEALTH = "/healthz";
+
+  /** As many may want to connect at one moment as there are machines and users. */
+  private static final int BACKLOG = 2048;
+
+  /** Connections beyond the limit that are still told so, as a share of it. */
+  private static final double CROWD = 0.06;
 
   private final int maxOpen;
+  private final int idleS;
+  private final int maxBody;
   private final Handler handler;
   private int open;
 
-  HttpServer(int maxOpen, Handler handler) {
+  /**
+   * @param maxOpen beyond so many connections requests are answered 503, beyond some more none are
+   * @param idleS a connection on which nothing moves for so long is closed: its other end may be
+   *     gone, and it counts all the same
+   */
+  HttpServer(int maxOpen, int idleS, int maxBody, Handler handler) {
     this.maxOpen = maxOpen;
+    this.idleS = idleS;
+    this.maxBody = maxBody;
     this.handler = handler;
   }
 
+  int open() {
+    return open;
+  }
+
   void bind(EventLoopGroup group, Address at) throws InterruptedException {
     new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, 512)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel ch) {
-                if (open >= maxOpen) {
+                if (open >= maxOpen * (1 + CROWD)) {
                   ch.close();
                   return;
                 }
+                boolean crowded = open >= maxOpen;
                 open++;
                 ch.closeFuture().addListener(f -> open--);
                 ch.pipeline()
-                    .addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS))
+                    .addLast(new IdleStateHandler(0, 0, idleS, TimeUnit.SECONDS))
                     .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY, true))
-                    .addLast(new Connection());
+                    .addLast(new HttpObjectAggregator(maxBody, true))
+                    .addLast(new Connection(crowded));
               }
             })
         .bind(at.host(), at.port())
@@ -100,6 +126,12 @@
   }
 
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final boolean crowded;
+
+    Connection(boolean crowded) {
+      this.crowded = crowded;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
       Exchange e = new Exchange(ctx, HttpUtil.isKeepAlive(r));
@@ -108,6 +140,11 @@
             .answer(400, "application/json", "{\"error\":\"malformed request\"}".getBytes(), 0);
         return;
       }
+      if (crowded && !r.uri().equals(HEALTH)) {
+        new Exchange(ctx, false)
+            .answer(503, "application/json", "{\"error\":\"too many connections\"}".getBytes(), 2);
+        return;
+      }
       handler.request(e, r.method().name(), r.uri(), ByteBufUtil.getBytes(r.content()));
     }
 
--- a/src/main/java/shorecrank/transport/Runtime.java
+++ b/src/main/java/shorecrank/transport/Runtime.java
@@ -39,6 +39,7 @@
   private static final Logger LOG = LoggerFactory.getLogger("shorecrank");
   private static final int EXIT_BROKEN = 3;
   private static final int METERS_S = 10;
+  private static final int MIN_IDLE_S = 30;
 
   private final NodeConfig config;
   private final Tuning tuning;
@@ -71,18 +72,38 @@
     meters.gauge("heap.used", this, r -> r.heapUsed());
     meters.gauge("state.calls.open", this, r -> r.state.pending());
     this.state = new HttpClientPool(loop, config.stateAddr(), 24);
-    this.cloud = new HttpClientPool(loop, config.cloudAddr(), 6);
+    this.cloud = new HttpClientPool(loop, config.cloudAddr(), 12);
     for (Member m : config.members()) {
       peers.put(m.label(), new HttpClientPool(loop, m.addr(), 4));
     }
   }
 
   public void start() throws InterruptedException {
+    // Some stay for connections that are cut but still count, and for those we open.
     int sockets = config.limits().sockets();
-    new HttpServer((int) (sockets * 0.8), (e, m, p, b) -> request(e, false, m, p, b))
-        .bind(group, config.publicAddr());
-    new HttpServer(Math.max(8, (int) (sockets * 0.08)), (e, m, p, b) -> request(e, true, m, p, b))
-        .bind(group, config.peerBind());
+    int idleS = (int) Math.max(MIN_IDLE_S, 4 * config.workers().reportS());
+    HttpServer users =
+        new HttpServer(
+            (int) (sockets * 0.8),
+            idleS,
+            HttpServer.MAX_BODY,
+            (e, m, p, b) -> request(e, false, m, p, b));
+    HttpServer others =
+        new HttpServer(
+            Math.max(16, (int) (sockets * 0.05)),
+            idleS,
+            HttpServer.MAX_PEER_BODY,
+            (e, m, p, b) -> request(e, true, m, p, b));
+    users.bind(group, config.publicAddr());
+    others.bind(group, config.peerBind());
+    meters.gauge("sockets.public", users, HttpServer::open);
+    meters.gauge("sockets.peers.in", others, HttpServer::open);
+    meters.gauge("sockets.state", state, HttpClientPool::open);
+    meters.gauge("sockets.cloud", cloud, HttpClientPool::open);
+    meters.gauge(
+        "sockets.peers.out",
+        peers,
+        all -> all.values().stream().mapToInt(HttpClientPool::open).sum());
     due = nanos.nanoTime();
     loop.execute(this::tick);
     if (LOG.isDebugEnabled()) {
--- a/src/test/java/shorecrank/daemon/ProcessTest.java
+++ b/src/test/java/shorecrank/daemon/ProcessTest.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -132,6 +133,52 @@
     assertTrue(send("GET", peer, "/metrics", null).body().contains("job.done"));
   }
 
+  /** Whoever comes when all connections are taken is told so, and when to come back. */
+  @Test
+  void aCrowdIsAnsweredNotLeftHanging() throws Exception {
+    int pub = freePort();
+    startServices();
+    int port = services.getAddress().getPort();
+    Path config =
+        Files.writeString(
+            dir.resolve("node.json"),
+            """
+            {"label":"a","location":"z","public_addr":"127.0.0.1:%d","peer_bind":"127.0.0.1:%d",
+             "members":[],"endpoints":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
+             "settings":{"teams":[{"name":"t"}],"quota":{"sockets":40}}}
+            """
+                .formatted(pub, freePort(), port, port));
+    run(List.of("--config", config.toString()));
+    await(() -> send("GET", pub, "/healthz", null).statusCode() == 200);
+    List<Socket> idle = new ArrayList<>();
+    try {
+      await(
+          () -> {
+            idle.add(new Socket(InetAddress.getLoopbackAddress(), pub));
+            return raw(pub, "/api/jobs/wk-1").startsWith("HTTP/1.1 503");
+          });
+      assertTrue(raw(pub, "/api/jobs/wk-1").toLowerCase().contains("retry-after:"));
+      assertTrue(raw(pub, "/healthz").startsWith("HTTP/1.1 200"));
+    } finally {
+      for (Socket s : idle) {
+        s.close();
+      }
+    }
+    await(() -> raw(pub, "/api/jobs/wk-1").startsWith("HTTP/1.1 404"));
+  }
+
+  /** One request on a connection of its own. */
+  private static String raw(int port, String path) throws IOException {
+    try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      s.setSoTimeout(5000);
+      s.getOutputStream()
+          .write(
+              ("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                  .getBytes(StandardCharsets.US_ASCII));
+      return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+  }
+
   /** The highest token the worker by hand has seen. */
   private long shown;
 
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -348,7 +348,14 @@
           default -> throw new IllegalArgumentException(name + ": " + line);
         };
     if (!ok) {
-      String more = a[1].startsWith("looks") ? " [" + w.looksPerRound() + "]" : jobStates(w, a);
+      String more =
+          switch (a[1]) {
+            case "looks-per-round-below" -> " [" + w.looksPerRound() + "]";
+            case "requests-below" -> " [" + w.store.requests + "]";
+            case "starts-above", "starts-below" -> " [" + w.checker.starts + "]";
+            case "kills-below" -> " [" + w.leaseKills + "]";
+            default -> jobStates(w, a);
+          };
       failures.add("not so: " + line + more);
     }
   }
