--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -55,7 +55,7 @@
       String machine = String.format("n-%06d", 1 + r.nextInt(8));
       String mode = modes[r.nextInt(3)];
       String line =
-          switch (r.nextInt(14)) {
+          switch (r.nextInt(18)) {
             case 0, 1 -> "crash " + one + " " + (r.nextBoolean() ? "0.2" : "" + (2 + s / 8));
             case 2 -> "freeze " + node + " " + s;
             case 3, 4 -> "cut " + node + " " + links[r.nextInt(5)] + " " + s + " " + mode;
@@ -67,6 +67,10 @@
             case 10 -> "deafen " + machine + " " + s;
             case 11 -> "copies " + s + " " + (2 + r.nextInt(40));
             case 12 -> "take " + machine;
+            case 13 -> "cut owner workers " + s + " " + mode;
+            case 14 -> "zonecut " + node + " " + s + " " + modes[r.nextInt(2)];
+            case 15 -> "partition a b " + s + " " + modes[r.nextInt(2)];
+            case 16 -> "freeze owner " + s + ";hang " + machine + " " + s;
             default -> "crash " + one + " 0.3;crash " + one + " 0.1";
           };
       for (String l : line.split(";")) {
