--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -254,7 +254,9 @@
         load();
       }
     } else {
-      if (!watching && !ports.now().before(watchRetryAt)) {
+      // An answer holds all changes since the last, whatever their number: after a cut, those of
+      // the owner that has come in between, megabytes of them, which nobody here needs.
+      if (!watching && valid() && !ports.now().before(watchRetryAt)) {
         watch();
       }
       if (ports.now().since(lookedAt) >= LOOK_MS) {
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -335,6 +335,7 @@
           case "starts-above" -> w.checker.starts > Integer.parseInt(a[2]);
           case "looks-per-round-below" -> w.looksPerRound() < Integer.parseInt(a[2]);
           case "starts-below" -> w.checker.starts < Integer.parseInt(a[2]);
+          case "news-below" -> w.mostNews < Integer.parseInt(a[2]);
           case "requests-below" -> w.store.requests < Integer.parseInt(a[2]);
           case "starts-of" ->
               w.checker.startsOf(a[2]) >= Integer.parseInt(a[3])
@@ -355,6 +356,7 @@
       String more =
           switch (a[1]) {
             case "looks-per-round-below" -> " [" + w.looksPerRound() + "]";
+            case "news-below" -> " [" + w.mostNews + "]";
             case "requests-below" -> " [" + w.store.requests + "]";
             case "starts-above", "starts-below" -> " [" + w.checker.starts + "]";
             case "kills-below" -> " [" + w.leaseKills + "]";
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -193,6 +193,10 @@
   final Set<String> results = new HashSet<>();
   final List<String> logs = new ArrayList<>();
   final List<ObjectNode> objectives = new ArrayList<>();
+
+  /** Changes in the fullest answer to a watch that a controller had to hold. */
+  int mostNews;
+
   private long rounds;
   private long looks;
 
@@ -350,6 +354,7 @@
         (status, body) -> {
           if (!answered[0] && from.up && from.life == life) {
             answered[0] = true;
+            mostNews = Math.max(mostNews, body.path("news").size());
             from.input(new Input.Answer(c.call(), status, body));
           }
         };
