--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -55,6 +55,9 @@
   /** With less time left than this a job does not wait for a machine that holds its image. */
   private static final double URGENT_S = 3;
 
+  /** Others' work that may be thrown away for a task, as a share of its own. */
+  private static final double WORTH = 0.5;
+
   /** So many jobs after the urgent ones may go before others where their image is. */
   private static final int NEAR = 8;
 
@@ -1528,17 +1531,19 @@
     if (ordering.hasAims(j.spec) && !ordering.waitsForStart(j.spec)) {
       return false;
     }
+    if (!ordering.hasAims(j.spec)) {
+      return j.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0;
+    }
     double aim = Double.MAX_VALUE;
     double age = j.ageS(ports.wallMs());
     for (NodeConfig.Objective o : ports.config.objectives()) {
-      if (o.kind().equals("wait")
-          && o.jobClass().equals(j.spec.jobClass())
-          && (o.withinS() > age || aim == Double.MAX_VALUE)) {
+      if (o.kind().equals("wait") && o.jobClass().equals(j.spec.jobClass()) && o.withinS() > age) {
         aim = Math.min(aim, o.withinS());
       }
     }
     if (aim == Double.MAX_VALUE) {
-      return j.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0;
+      // Too late to start in time: nothing is won by what others would lose.
+      return false;
     }
     double fetch = 0;
     for (HostType t : catalog.values()) {
@@ -1555,6 +1560,7 @@
     boolean placed = false;
     String zone = onlyZone;
     int index = from;
+    double mayCost = WORTH * j.spec.cpus() * Math.max(1, j.spec.estimateS());
     while (wanted > 0) {
       Host best = null;
       List<LiveTask> victims = List.of();
@@ -1570,11 +1576,12 @@
         if (v.isEmpty()) {
           continue;
         }
-        double c = h.fetchSeconds(j.spec);
+        double thrownAway = 0;
         for (LiveTask t : v) {
-          c += t.lost(ports.now()) * t.job.spec.cpus() / j.spec.cpus();
+          thrownAway += t.lost(ports.now()) * t.job.spec.cpus();
         }
-        if (c < bestCost) {
+        double c = h.fetchSeconds(j.spec) + thrownAway / j.spec.cpus();
+        if (c < bestCost && thrownAway <= mayCost) {
           best = h;
           bestCost = c;
           victims = v;
