Starts go where they can be told soonest; reports wait for what is being written

Cause: a start goes in the answer to the machine's next report, half of 5 s away on average, and a machine whose report came while its placement was being written waited for the one after it.

--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -151,6 +151,11 @@
     return wanted.containsKey(s.image()) ? all / 2 : all;
   }
 
+  /** Seconds until it can be told something: in the answer to its next report. */
+  double toldInS(Mono now, double reportS) {
+    return parked >= 0 ? 0 : Math.max(0, reportS - now.since(lastHeard) / 1000.0);
+  }
+
   boolean holdsOrFetches(JobSpec s) {
     return images.containsKey(s.image()) || wanted.containsKey(s.image());
   }
--- a/src/main/java/shorecrank/coordination/Placement.java
+++ b/src/main/java/shorecrank/coordination/Placement.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.Mono;
 import shorecrank.protocol.JobSpec;
 
 /** Where a job's tasks may go, and where they go best. */
@@ -32,9 +33,12 @@
     return false;
   }
 
+  /** When it is, and how often workers report: a start goes in the answer to a report. */
+  record Clock(Mono now, double reportS) {}
+
   /** What a placement there costs, in seconds; less is better. */
-  static double cost(JobSpec s, Host h, int wanted) {
-    double c = h.fetchSeconds(s);
+  private static double cost(JobSpec s, Host h, int wanted, Clock clock) {
+    double c = h.fetchSeconds(s) + h.toldInS(clock.now, clock.reportS);
     int n = Math.min(wanted, h.fits(s));
     double left = h.freeCpus() - n * s.cpus();
     // Best fit: little left over, so that large tasks find room elsewhere.
@@ -47,14 +51,20 @@
    * them.
    */
   static Host choose(
-      JobSpec s, int wanted, List<Host> hosts, String zone, int sample, SplittableRandom random) {
+      JobSpec s,
+      int wanted,
+      List<Host> hosts,
+      String zone,
+      Clock clock,
+      int sample,
+      SplittableRandom random) {
     Host best = null;
     double bestCost = Double.MAX_VALUE;
     int n = hosts.size();
     if (n > sample) {
       for (int i = 0; i < sample; i++) {
         Host h = hosts.get(random.nextInt(n));
-        double c = fitting(s, h, zone) ? cost(s, h, wanted) : Double.MAX_VALUE;
+        double c = fitting(s, h, zone) ? cost(s, h, wanted, clock) : Double.MAX_VALUE;
         if (c < bestCost) {
           best = h;
           bestCost = c;
@@ -65,7 +75,7 @@
       }
     }
     for (Host h : hosts) {
-      double c = fitting(s, h, zone) ? cost(s, h, wanted) : Double.MAX_VALUE;
+      double c = fitting(s, h, zone) ? cost(s, h, wanted, clock) : Double.MAX_VALUE;
       if (c < bestCost) {
         best = h;
         bestCost = c;
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -999,8 +999,9 @@
       ports.reply(reply, 200, WorkerMessages.answer(epoch, List.of()));
       return;
     }
-    if (freed && ports.tuning.parkMs() > 0) {
-      // What has just come free can be used again in this very answer, once that is written.
+    if ((freed || awaitsCommit(h)) && ports.tuning.parkMs() > 0) {
+      // What has just come free can be used again in this very answer, once that is written; and
+      // what is being written for this machine need not wait for its next report.
       h.parked = reply;
       h.parkedUntil = now.plus(ports.tuning.parkMs());
       parked.add(h);
@@ -1010,6 +1011,15 @@
     }
   }
 
+  private static boolean awaitsCommit(Host h) {
+    for (LiveTask l : h.live) {
+      if (!l.committed()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void loseOlder(Host h) {
     for (LiveTask l : new ArrayList<>(h.live)) {
       if (l.tenure.compareTo(h.tenure) < 0) {
@@ -1072,10 +1082,8 @@
     if (kicked) {
       return false;
     }
-    for (LiveTask l : h.live) {
-      if (!l.committed()) {
-        return false;
-      }
+    if (awaitsCommit(h)) {
+      return false;
     }
     for (TaskReport t : h.report.tasks()) {
       Job j = t.state() == TaskState.EXITED ? jobs.get(t.run().job()) : null;
@@ -1475,7 +1483,13 @@
     while (wanted > 0 && !candidates.isEmpty()) {
       Host h =
           Placement.choose(
-              j.spec, wanted, candidates, zone, ports.tuning.sampleSize(), ports.random());
+              j.spec,
+              wanted,
+              candidates,
+              zone,
+              new Placement.Clock(ports.now(), ports.config.workers().reportS()),
+              ports.tuning.sampleSize(),
+              ports.random());
       if (h == null) {
         break;
       }
@@ -1580,7 +1594,10 @@
         for (LiveTask t : v) {
           thrownAway += t.lost(ports.now()) * t.job.spec.cpus();
         }
-        double c = h.fetchSeconds(j.spec) + thrownAway / j.spec.cpus();
+        double c =
+            h.fetchSeconds(j.spec)
+                + h.toldInS(ports.now(), ports.config.workers().reportS())
+                + thrownAway / j.spec.cpus();
         if (c < bestCost && thrownAway <= mayCost) {
           best = h;
           bestCost = c;
