--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Earshot.java
@@ -0,0 +1,93 @@
+package shorecrank.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.PeerMessages.Hearing;
+
+/** Which of a part's machines its owner hears, and what their silence proves. */
+final class Earshot {
+  private final Ports ports;
+  private final Collection<Host> hosts;
+
+  /** When the part was granted: before it nobody could report here. */
+  private final Mono grantedAt;
+
+  Earshot(Ports ports, Collection<Host> hosts, Mono grantedAt) {
+    this.ports = ports;
+    this.hosts = hosts;
+    this.grantedAt = grantedAt;
+  }
+
+  /**
+   * Whether part of the fleet has just fallen silent. Alone and with the whole fleet around it, an
+   * owner is better replaced soon; alone with a share of it, both are cut off together, and those
+   * workers have nobody else.
+   */
+  boolean hearsFew() {
+    int heard = 0;
+    int reported = 0;
+    for (Host h : hosts) {
+      if (h.reported()) {
+        reported++;
+        heard += overdue(h) ? 0 : 1;
+      }
+    }
+    return heard * 3 < reported * 2;
+  }
+
+  /** Whom this owner should hear and does not, for the leader to compare with what others hear. */
+  Hearing hearing() {
+    int expected = 0;
+    int unheard = 0;
+    Map<String, int[]> byZone = new TreeMap<>();
+    for (Host h : hosts) {
+      if (h.info != null && h.lent && (h.reported() || !h.empty())) {
+        int[] zone = byZone.computeIfAbsent(h.info.zone(), z -> new int[2]);
+        expected++;
+        zone[0]++;
+        if (overdue(h)) {
+          unheard++;
+          zone[1]++;
+        }
+      }
+    }
+    List<String> deafTo = new ArrayList<>();
+    byZone.forEach(
+        (zone, n) -> {
+          if (n[1] * 2 > n[0]) {
+            deafTo.add(zone);
+          }
+        });
+    return new Hearing(expected, unheard, deafTo);
+  }
+
+  /** Its next report should have come by now. */
+  private boolean overdue(Host h) {
+    return silentMs(h) > ports.config.workers().reportS() * 1250 + 2000;
+  }
+
+  /** When a silent machine's worker has surely killed its tasks. */
+  boolean leaseOut(Host h) {
+    Mono from = h.lastHeard;
+    if (!h.confirmed) {
+      // An earlier owner may have gone on renewing it until its grace was over.
+      Mono quiet = grantedAt.plus(ports.tuning.graceMs() + ports.tuning.graceMs() / 500L + 1000L);
+      from = from.before(quiet) ? quiet : from;
+    }
+    double lease = ports.config.workers().leaseS() * 1000;
+    return ports.now().since(from) > lease * 1.002 + 1000;
+  }
+
+  long silentMs(Host h) {
+    Mono from = h.lastHeard.before(grantedAt) ? grantedAt : h.lastHeard;
+    return ports.now().since(from);
+  }
+
+  boolean fresh(Host h) {
+    return h.known && silentMs(h) < ports.config.workers().reportS() * 2500 + 1500;
+  }
+}
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -66,7 +66,7 @@
     for (Host h : steward.hosts.values()) {
       // One that holds tasks has run before, whether or not this owner has heard it.
       if (h.info != null && (h.reported() || !h.empty())) {
-        boolean silent = !steward.fresh(h);
+        boolean silent = !steward.earshot.fresh(h);
         all.add(silent);
         byZone.computeIfAbsent(h.info.zone(), z -> new Silence()).add(silent);
       }
@@ -89,7 +89,7 @@
     double patient = lease + 60_000;
     balance();
     for (Host h : steward.hosts.values()) {
-      long quiet = steward.silentMs(h);
+      long quiet = steward.earshot.silentMs(h);
       // When it is over the last of them have a lease's time to find their way.
       Mono cutAt =
           h.info == null ? Mono.NEVER : zoneSilentAt.getOrDefault(h.info.zone(), Mono.NEVER);
@@ -114,13 +114,13 @@
           && h.empty()
           && now.since(h.deafFrom) > 3 * lease + 30_000) {
         retire.add(h.name);
-      } else if (h.quarantines > 1 && h.empty() && steward.fresh(h)) {
+      } else if (h.quarantines > 1 && h.empty() && steward.earshot.fresh(h)) {
         h.retiring = true;
         retire.add(h.name);
       } else if (h.draining
           && h.empty()
           && h.listedTasks == 0
-          && steward.fresh(h)
+          && steward.earshot.fresh(h)
           && now.since(h.idleSince) > 2000) {
         h.retiring = true;
         retire.add(h.name);
@@ -143,7 +143,11 @@
     List<Host> running = new ArrayList<>();
     List<Host> draining = new ArrayList<>();
     for (Host h : steward.hosts.values()) {
-      if (h.type() == null || !h.reported() || !steward.fresh(h) || h.retiring || h.noticed) {
+      if (h.type() == null
+          || !h.reported()
+          || !steward.earshot.fresh(h)
+          || h.retiring
+          || h.noticed) {
         continue;
       }
       used += h.usedCpus();
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -28,7 +28,6 @@
 import shorecrank.protocol.Ids.Stamp;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
-import shorecrank.protocol.PeerMessages.Hearing;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.Lent;
 import shorecrank.protocol.PeerMessages.PartBeat;
@@ -74,7 +73,6 @@
   private final Epoch firstEpoch;
   private Epoch epoch;
   private Mono validUntil = Mono.NEVER;
-  private final Mono grantedAt;
   private Epoch fenced = Epoch.NONE;
   private boolean reload;
 
@@ -104,6 +102,7 @@
   private int inFlight;
   private Mono writeRetryAt = Mono.NEVER;
   private JobId cursor;
+  final Earshot earshot;
   final Renting renting;
   private final Ordering ordering;
   private boolean closed;
@@ -118,7 +117,7 @@
     this.part = part;
     this.epoch = epoch;
     this.firstEpoch = epoch;
-    this.grantedAt = grantedAt;
+    this.earshot = new Earshot(ports, hosts.values(), grantedAt);
     this.renting = new Renting(ports, this);
     this.ordering = new Ordering(ports);
     this.questions = new Questions(ports, jobs);
@@ -186,54 +185,6 @@
     return over >= 0 && over < max;
   }
 
-  /**
-   * Whether part of the fleet has just fallen silent. Alone and with the whole fleet around it, an
-   * owner is better replaced soon; alone with a share of it, both are cut off together, and those
-   * workers have nobody else.
-   */
-  private boolean hearsFew() {
-    int heard = 0;
-    int reported = 0;
-    for (Host h : hosts.values()) {
-      if (h.reported()) {
-        reported++;
-        heard += overdue(h) ? 0 : 1;
-      }
-    }
-    return heard * 3 < reported * 2;
-  }
-
-  /** Whom this owner should hear and does not, for the leader to compare with what others hear. */
-  private Hearing hearing() {
-    int expected = 0;
-    int unheard = 0;
-    Map<String, int[]> byZone = new TreeMap<>();
-    for (Host h : hosts.values()) {
-      if (h.info != null && h.lent && (h.reported() || !h.empty())) {
-        int[] zone = byZone.computeIfAbsent(h.info.zone(), z -> new int[2]);
-        expected++;
-        zone[0]++;
-        if (overdue(h)) {
-          unheard++;
-          zone[1]++;
-        }
-      }
-    }
-    List<String> deafTo = new ArrayList<>();
-    byZone.forEach(
-        (zone, n) -> {
-          if (n[1] * 2 > n[0]) {
-            deafTo.add(zone);
-          }
-        });
-    return new Hearing(expected, unheard, deafTo);
-  }
-
-  /** Its next report should have come by now. */
-  private boolean overdue(Host h) {
-    return silentMs(h) > ports.config.workers().reportS() * 1250 + 2000;
-  }
-
   void end(String why) {
     closed = true;
     answerParked(true);
@@ -265,8 +216,8 @@
       if (ports.now().since(lookedAt) >= LOOK_MS) {
         lookedAt = ports.now();
         verdicts();
-        usage();
-        hearsFew = hearsFew();
+        Usage.tell(ports, hosts.values(), jobs.values(), earshot);
+        hearsFew = earshot.hearsFew();
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
       }
@@ -870,67 +821,10 @@
     j.touch(Urgency.LATER, ports.now());
   }
 
-  /** When a silent machine's worker has surely killed its tasks. */
-  private boolean leaseOut(Host h) {
-    Mono from = h.lastHeard;
-    if (!h.confirmed) {
-      // An earlier owner may have gone on renewing it until its grace was over.
-      Mono quiet = grantedAt.plus(ports.tuning.graceMs() + ports.tuning.graceMs() / 500L + 1000L);
-      from = from.before(quiet) ? quiet : from;
-    }
-    double lease = ports.config.workers().leaseS() * 1000;
-    return ports.now().since(from) > lease * 1.002 + 1000;
-  }
-
-  long silentMs(Host h) {
-    Mono from = h.lastHeard.before(grantedAt) ? grantedAt : h.lastHeard;
-    return ports.now().since(from);
-  }
-
-  boolean fresh(Host h) {
-    return h.known && silentMs(h) < ports.config.workers().reportS() * 2500 + 1500;
-  }
-
-  /** What the part's processors do: where time goes while jobs wait. */
-  private void usage() {
-    double there = 0;
-    double commanded = 0;
-    double pulling = 0;
-    double running = 0;
-    double taken = 0;
-    for (Host h : hosts.values()) {
-      if (h.type() == null || !fresh(h)) {
-        continue;
-      }
-      there += h.type().cpus();
-      taken += h.usedCpus();
-      for (LiveTask t : h.live) {
-        double cpus = t.job.spec.cpus();
-        if (t.state == null) {
-          commanded += cpus;
-        } else if (t.state == TaskState.PULLING) {
-          pulling += cpus;
-        } else {
-          running += cpus;
-        }
-      }
-    }
-    double waiting = 0;
-    for (Job j : jobs.values()) {
-      waiting += j.queued() * j.spec.cpus();
-    }
-    ports.gauge("cpus.heard", there);
-    ports.gauge("cpus.taken", taken);
-    ports.gauge("cpus.commanded", commanded);
-    ports.gauge("cpus.pulling", pulling);
-    ports.gauge("cpus.running", running);
-    ports.gauge("cpus.waited_for", waiting);
-  }
-
   private void verdicts() {
     ports.count("round.looks", hosts.size());
     for (Host h : hosts.values()) {
-      if (!h.empty() && leaseOut(h)) {
+      if (!h.empty() && earshot.leaseOut(h)) {
         loseAll(h, "its worker's lease ran out");
         h.clearGhosts();
         h.known = false;
@@ -1287,7 +1181,7 @@
     Mono now = ports.now();
     return h.lent
         && h.type() != null
-        && fresh(h)
+        && earshot.fresh(h)
         && !h.recall
         && !h.draining
         && !h.noticed
@@ -1675,7 +1569,7 @@
     if (ready() && valid()) {
       renting.review(retire);
       for (Host h : hosts.values()) {
-        if (h.recall && h.empty() && h.listedTasks == 0 && fresh(h)) {
+        if (h.recall && h.empty() && h.listedTasks == 0 && earshot.fresh(h)) {
           back.add(h.name);
         } else if ((usable(h) || h.draining)
             && h.empty()
@@ -1686,6 +1580,6 @@
     }
     boolean queued = !ready() || jobs.values().stream().anyMatch(j -> j.queued() > 0);
     return new PartBeat(
-        part, epoch, fenced, queued, hearing(), renting.wants(), retire, spare, back);
+        part, epoch, fenced, queued, earshot.hearing(), renting.wants(), retire, spare, back);
   }
 }
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Usage.java
@@ -0,0 +1,45 @@
+package shorecrank.coordination;
+
+import java.util.Collection;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.protocol.WorkerMessages.TaskState;
+
+/** What a part's processors do: where time goes while jobs wait. */
+final class Usage {
+  private Usage() {}
+
+  static void tell(Ports ports, Collection<Host> hosts, Collection<Job> jobs, Earshot earshot) {
+    double there = 0;
+    double commanded = 0;
+    double pulling = 0;
+    double running = 0;
+    double taken = 0;
+    for (Host h : hosts) {
+      if (h.type() == null || !earshot.fresh(h)) {
+        continue;
+      }
+      there += h.type().cpus();
+      taken += h.usedCpus();
+      for (LiveTask t : h.live) {
+        double cpus = t.job.spec.cpus();
+        if (t.state == null) {
+          commanded += cpus;
+        } else if (t.state == TaskState.PULLING) {
+          pulling += cpus;
+        } else {
+          running += cpus;
+        }
+      }
+    }
+    double waiting = 0;
+    for (Job j : jobs) {
+      waiting += j.queued() * j.spec.cpus();
+    }
+    ports.gauge("cpus.heard", there);
+    ports.gauge("cpus.taken", taken);
+    ports.gauge("cpus.commanded", commanded);
+    ports.gauge("cpus.pulling", pulling);
+    ports.gauge("cpus.running", running);
+    ports.gauge("cpus.waited_for", waiting);
+  }
+}
