--- a/src/test/java/shorecrank/daemon/ProcessTest.java
+++ b/src/test/java/shorecrank/daemon/ProcessTest.java
@@ -74,16 +74,7 @@
     int pub = freePort();
     int peer = freePort();
     startServices();
-    int port = services.getAddress().getPort();
-    Path config =
-        Files.writeString(
-            dir.resolve("node.json"),
-            """
-            {"label":"a","location":"z","public_addr":"127.0.0.1:%d","peer_bind":"127.0.0.1:%d",
-             "members":[],"endpoints":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
-             "settings":{"teams":[{"name":"t"}]}}
-            """
-                .formatted(pub, peer, port, port));
+    Path config = config(pub, peer, "");
     run(List.of("--config", config.toString()));
     await(() -> send("GET", pub, "/healthz", null).statusCode() == 200);
     assertEquals(400, send("POST", pub, "/api/jobs", "{").statusCode());
@@ -133,21 +124,24 @@
     assertTrue(send("GET", peer, "/metrics", null).body().contains("job.done"));
   }
 
+  private Path config(int pub, int peer, String moreSettings) throws IOException {
+    int port = services.getAddress().getPort();
+    return Files.writeString(
+        dir.resolve("node.json"),
+        """
+        {"label":"a","location":"z","public_addr":"127.0.0.1:%d","peer_bind":"127.0.0.1:%d",
+         "members":[],"endpoints":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
+         "settings":{"teams":[{"name":"t"}]%s}}
+        """
+            .formatted(pub, peer, port, port, moreSettings));
+  }
+
   /** Whoever comes when all connections are taken is told so, and when to come back. */
   @Test
   void aCrowdIsAnsweredNotLeftHanging() throws Exception {
     int pub = freePort();
     startServices();
-    int port = services.getAddress().getPort();
-    Path config =
-        Files.writeString(
-            dir.resolve("node.json"),
-            """
-            {"label":"a","location":"z","public_addr":"127.0.0.1:%d","peer_bind":"127.0.0.1:%d",
-             "members":[],"endpoints":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
-             "settings":{"teams":[{"name":"t"}],"quota":{"sockets":40}}}
-            """
-                .formatted(pub, freePort(), port, port));
+    Path config = config(pub, freePort(), ",\"quota\":{\"sockets\":40}");
     run(List.of("--config", config.toString()));
     await(() -> send("GET", pub, "/healthz", null).statusCode() == 200);
     List<Socket> idle = new ArrayList<>();
