Records of many scattered ranges are packed

Ranges are now written by column and deflated above 24 of them: 6 bytes a range instead of 25, and how many more fit is counted instead of guessed. Scenario scattered fails without it.

--- a/src/main/java/shorecrank/bookkeeping/JobRecord.java
+++ b/src/main/java/shorecrank/bookkeeping/JobRecord.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.function.IntFunction;
 import shorecrank.protocol.Ids.Attempt;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
@@ -37,6 +38,9 @@
   /** Tasks placed on one machine in one round. Those already done do not count as live. */
   public record LiveRange(int first, int count, HostName host, Tenure tenure, Attempt attempt) {}
 
+  /** With more live ranges than this a record is packed, to fit the value the store takes. */
+  private static final int PACK_ABOVE = 24;
+
   public static final String LIVE = "j/";
   public static final String FINAL = "f/";
 
@@ -74,25 +78,51 @@
     if (aborted) {
       n.put("x", true);
     }
-    ArrayNode d = n.putArray("d");
+    ArrayNode d = Json.array();
     for (int i = done.nextSetBit(0); i >= 0; ) {
       int end = done.nextClearBit(i);
       d.add(i).add(end - i);
       i = done.nextSetBit(end);
     }
-    ArrayNode l = n.putArray("l");
-    for (LiveRange r : live) {
-      l.addArray()
-          .add(r.first)
-          .add(r.count)
-          .add(r.host.value())
-          .add(r.tenure.value())
-          .add(r.attempt.value());
+    if (live.size() > PACK_ABOVE || d.size() > 4 * PACK_ABOVE) {
+      n.put("z", Packed.pack(columns(d)));
+    } else {
+      n.set("d", d);
+      ArrayNode l = n.putArray("l");
+      for (LiveRange r : live) {
+        l.addArray()
+            .add(r.first)
+            .add(r.count)
+            .add(r.host.value())
+            .add(r.tenure.value())
+            .add(r.attempt.value());
+      }
     }
     n.set("s", spec.write());
     return n;
   }
 
+  /** Ranges by column, their firsts as gaps: what is alike stands together and packs well. */
+  private ArrayNode columns(ArrayNode doneRuns) {
+    ArrayNode columns = Json.array();
+    columns.add(doneRuns);
+    ArrayNode gaps = columns.addArray();
+    ArrayNode counts = columns.addArray();
+    ArrayNode hosts = columns.addArray();
+    ArrayNode tenures = columns.addArray();
+    ArrayNode attempts = columns.addArray();
+    int end = 0;
+    for (LiveRange r : live) {
+      gaps.add(r.first - end);
+      counts.add(r.count);
+      hosts.add(r.host.value());
+      tenures.add(r.tenure.value());
+      attempts.add(r.attempt.value());
+      end = r.first + r.count;
+    }
+    return columns;
+  }
+
   /** Whether no owner has written it yet; a quick look, without reading all of it. */
   public static boolean isUnclaimed(JsonNode n) {
     return n != null && n.path("e").asLong(-1) == 0;
@@ -107,24 +137,36 @@
       return null;
     }
     BitSet done = new BitSet();
-    JsonNode d = n.path("d");
+    JsonNode packed = n.path("z");
+    JsonNode columns = packed.isTextual() ? Packed.unpack(packed.textValue()) : null;
+    if (columns != null && columns.isMissingNode()) {
+      return null;
+    }
+    JsonNode d = columns == null ? n.path("d") : columns.path(0);
     for (int i = 0; i + 1 < d.size(); i += 2) {
       int first = d.get(i).asInt();
-      int count = d.get(i + 1).asInt();
-      if (first < 0 || count < 0 || first + count > spec.tasks()) {
+      int many = d.get(i + 1).asInt();
+      if (first < 0 || many < 0 || first + many > spec.tasks()) {
         return null;
       }
-      done.set(first, first + count);
+      done.set(first, first + many);
     }
     List<LiveRange> live = new ArrayList<>();
-    for (JsonNode r : n.path("l")) {
+    int count = columns == null ? n.path("l").size() : columns.path(1).size();
+    int end = 0;
+    for (int i = 0; i < count; i++) {
+      int at = i;
+      IntFunction<JsonNode> field =
+          columns == null ? f -> n.path("l").path(at).path(f) : f -> columns.path(f + 1).path(at);
+      int first = field.apply(0).asInt(-1) + (columns == null ? 0 : end);
       LiveRange lr =
           new LiveRange(
-              r.path(0).asInt(-1),
-              r.path(1).asInt(-1),
-              new HostName(r.path(2).asText()),
-              new Tenure(r.path(3).asLong()),
-              new Attempt(r.path(4).asLong()));
+              first,
+              field.apply(1).asInt(-1),
+              new HostName(field.apply(2).asText()),
+              new Tenure(field.apply(3).asLong()),
+              new Attempt(field.apply(4).asLong()));
+      end = lr.first + lr.count;
       if (lr.first < 0 || lr.count < 0 || lr.first + lr.count > spec.tasks()) {
         return null;
       }
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -106,7 +106,9 @@
   Urgency dirty = Urgency.NONE;
   Mono dirtySince = Mono.NEVER;
   Mono writeAfter = Mono.NEVER;
-  boolean recordFull;
+
+  /** So many more ranges fit into the record; known from its last write on. */
+  int rangesLeft = Integer.MAX_VALUE;
 
   final BitSet done = new BitSet();
   final BitSet taken = new BitSet();
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -49,6 +49,10 @@
   private static final int CALL_MS = 2000;
   private static final int MAX_IN_FLIGHT = 3;
   private static final int TXN_BYTES = 56 * 1024;
+
+  /** What a live range takes of a packed record, at the most. */
+  private static final int RANGE_BYTES = 12;
+
   private static final int WATCH_PAUSE_MS = 250;
 
   /** With less time left than this a job does not wait for a machine that holds its image. */
@@ -530,7 +534,8 @@
         bytes = Json.bytes(value).length;
       }
       standing = record.standing();
-      j.recordFull = bytes > max * 0.7;
+      // A record without a live range always takes one: else its job would never run.
+      j.rangesLeft = Math.max(j.live.isEmpty() ? 1 : 0, (int) ((max * 0.9 - bytes) / RANGE_BYTES));
       txn.write(key, value);
     }
     batch.add(new Write(j, j.seq, last, standing));
@@ -1198,7 +1203,7 @@
       if (j.queued() > 0
           && !j.inFlight
           && !j.rereading
-          && !j.recordFull
+          && j.rangesLeft > 0
           && j.placeAfter.before(now)
           && (j.claimed || j.epoch.value() == 0)) {
         l.add(j);
@@ -1374,7 +1379,7 @@
     if (j.spec.spread()) {
       candidates = new ArrayList<>(candidates);
     }
-    while (wanted > 0 && !candidates.isEmpty()) {
+    while (wanted > 0 && j.rangesLeft > 0 && !candidates.isEmpty()) {
       Host h =
           Placement.choose(
               j.spec,
@@ -1410,6 +1415,7 @@
         break;
       }
       j.tries++;
+      j.rangesLeft--;
       placed = true;
       wanted -= n;
       perZone.merge(h.info.zone(), n, Integer::sum);
@@ -1469,7 +1475,7 @@
     String zone = onlyZone;
     int index = from;
     double mayCost = WORTH * j.spec.cpus() * Math.max(1, j.spec.estimateS());
-    while (wanted > 0) {
+    while (wanted > 0 && j.rangesLeft > 0) {
       Host best = null;
       List<LiveTask> victims = List.of();
       double bestCost = Double.MAX_VALUE;
@@ -1512,6 +1518,7 @@
       ports.count("task.preempted");
       victims.forEach(t -> ports.count("task.preempted.ms", (long) (t.lost(ports.now()) * 1000)));
       Attempt attempt = new Attempt(++j.tries);
+      j.rangesLeft--;
       attach(new LiveTask(j, index, best, best.tenure, attempt, j.seq + 1, ports.now()));
       placed = true;
       wanted--;
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -113,6 +113,7 @@
           w.stateRps = number(o, "rps", w.stateRps);
           w.stateWrites = number(o, "writes", w.stateWrites);
           w.store.txnOps = (int) number(o, "ops", w.store.txnOps);
+          w.store.valueKb = (int) number(o, "value", w.store.valueKb);
         }
         case "type" -> {
           Map<String, String> o = options(a, 2);
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -274,7 +274,8 @@
     s.putObject("state")
         .put("rps", stateRps)
         .put("write_rps", stateWrites)
-        .put("txn_ops", store.txnOps);
+        .put("txn_ops", store.txnOps)
+        .put("value_kb", store.valueKb);
     s.putObject("cloud").put("rps", 4.0).put("list_lag_s", listLagS);
     try {
       return NodeConfig.read(Json.bytes(c));
