Start aims count until they are past; work within a guarantee goes first

Cause: an aim on a start of 2 s with reports every 4 s was always taken as out of reach (half a report and the image were subtracted), so acta-jurado went by its deadline, behind jobs of other classes; and nothing knew a team's guarantee.

--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -123,6 +123,9 @@
   /** Seconds until it must get room to reach an aim, as found when jobs were last put in order. */
   double slackS;
 
+  /** Within its team's guarantee, so it waits for no other team. */
+  boolean owed;
+
   final Set<HostName> failedOn = new ObjectOpenHashSet<>();
   int backoff;
 
--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import shorecrank.config.NodeConfig;
 import shorecrank.config.NodeConfig.Objective;
 import shorecrank.protocol.JobSpec;
 
@@ -35,13 +36,19 @@
   /** Tasks of a job differ, and its last one counts. */
   private static final double LAST_TASK = 1.3;
 
+  /**
+   * Work within its team's guarantee waits for nobody, but lets closer aims go first for so long.
+   */
+  private static final double OWED_S = 2;
+
   /** Machines are never all busy with what was placed best: room is lost to shapes and images. */
   private static final double USABLE = 0.75;
 
   private record Aim(boolean start, double withinS, double times) {}
 
   /** One job in one round. */
-  private record Entry(Job job, double latestStartS, double runS, double work, double weight) {}
+  private record Entry(
+      Job job, double latestStartS, double runS, double work, double weight, boolean owed) {}
 
   private final Ports ports;
   private final Map<String, List<Aim>> aims = new HashMap<>();
@@ -124,8 +131,11 @@
     double there = cpus * USABLE;
     double coming = soonCpus * USABLE;
     for (Entry e : reachable) {
-      kept.add(e);
       work += e.work();
+      if (e.owed()) {
+        continue;
+      }
+      kept.add(e);
       while (!kept.isEmpty()
           && clearS(work, there, coming, soonS) > Math.max(0, e.latestStartS()) + e.runS()) {
         Entry largest = kept.poll();
@@ -162,6 +172,33 @@
     return soonS + (work - cpus * soonS) / (cpus + soonCpus);
   }
 
+  /**
+   * Marks the jobs within their team's guarantee: those that fit into it together with all of the
+   * team's earlier ones.
+   */
+  void owe(Collection<Job> jobs) {
+    Map<String, List<Job>> byTeam = new HashMap<>();
+    for (Job j : jobs) {
+      j.owed = false;
+      NodeConfig.Team t = ports.config.teams().get(j.spec.team());
+      if (t != null && (t.cpus() > 0 || t.gpus() > 0) && !j.aborted) {
+        byTeam.computeIfAbsent(j.spec.team(), k -> new ArrayList<>()).add(j);
+      }
+    }
+    byTeam.forEach(
+        (name, l) -> {
+          NodeConfig.Team t = ports.config.teams().get(name);
+          l.sort(Comparator.comparingLong((Job j) -> j.acceptedAtMs).thenComparing(Job::id));
+          double cpus = 0;
+          double gpus = 0;
+          for (Job j : l) {
+            cpus += j.spec.tasks() * j.spec.cpus();
+            gpus += j.spec.tasks() * j.spec.gpus();
+            j.owed = cpus <= t.cpus() + 1e-9 && gpus <= t.gpus() + 1e-9;
+          }
+        });
+  }
+
   /** Null if no aim can be reached any more, or there is none. */
   private Entry entry(Job j, double fetchGbPerS, long wall) {
     JobSpec s = j.spec;
@@ -173,8 +210,9 @@
     for (Aim a : aims.getOrDefault(s.jobClass(), List.of())) {
       double latest;
       if (a.start()) {
+        // The image may be there and the machine's report about to come: given up only once past.
         latest = a.withinS() - fetch - command - age;
-        if (latest < 0) {
+        if (age >= a.withinS()) {
           continue;
         }
       } else {
@@ -189,6 +227,9 @@
       }
       best = Math.min(best, latest);
     }
+    if (j.owed) {
+      best = Math.min(best, OWED_S - age);
+    }
     if (best == Double.MAX_VALUE) {
       return null;
     }
@@ -202,7 +243,7 @@
             }
             / Math.max(1, seen.getOrDefault(s.jobClass(), 1));
     double queuedWork = j.queued() * Math.max(0.1, s.cpus()) * (run + fetch);
-    return new Entry(j, best, run * LAST_TASK + fetch + command, queuedWork, weight);
+    return new Entry(j, best, run * LAST_TASK + fetch + command, queuedWork, weight, j.owed);
   }
 
   private void learn(Job j) {
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -1237,6 +1237,7 @@
     for (Job j : jobs.values()) {
       busy += j.live.size() * j.spec.cpus() * j.spec.estimateS() / 2;
     }
+    ordering.owe(jobs.values());
     return ordering.sort(
         waiting, fetch / Math.max(1, cpus), cpus, soon, soonS / Math.max(1, soon), busy);
   }
