Tasks that save move off machines that are to go back

Cause: from 190 s on 21,000 of 28,000 processors were in use and machines ran empty for a minute and more behind their longest task; from 600 s on 3,900 in use on 7,500.

--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -143,11 +143,16 @@
         && s.memoryGb() <= type.memoryGb() - memoryGb + moreMemoryGb + 1e-9;
   }
 
+  /** A fetch of the image to a machine of this kind. */
+  double fetchAnewS(JobSpec s) {
+    return s.imageGb() / Math.max(0.01, type.fetchGbPerS());
+  }
+
   double fetchSeconds(JobSpec s) {
     if (images.containsKey(s.image())) {
       return 0;
     }
-    double all = s.imageGb() / Math.max(0.01, type.fetchGbPerS());
+    double all = fetchAnewS(s);
     return wanted.containsKey(s.image()) ? all / 2 : all;
   }
 
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -70,6 +70,21 @@
       return runningSince == null ? 0 : now.since(runningSince) / 1000.0;
     }
 
+    /** What it has done is kept when it is stopped, and it is not stopped yet. */
+    boolean movable() {
+      return job.spec.checkpointS() > 0
+          && state == TaskState.RUNNING
+          && !revoked
+          && committed()
+          && job.claimed;
+    }
+
+    /** Seconds until it ends, by its owner's estimate; of what runs over that a quarter more. */
+    double leftS(Mono now) {
+      double estimate = Math.max(1, job.spec.estimateS());
+      return Math.max(estimate / 4, estimate - lost(now));
+    }
+
     boolean committed() {
       return seq <= job.committedSeq;
     }
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import shorecrank.coordination.Job.LiveTask;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.HostName;
@@ -27,6 +28,15 @@
 
   private static final int PROBE = 10;
 
+  /** Of the room there is, so much may be taken by tasks that move; the rest is for new ones. */
+  private static final double MOVE_SHARE = 0.5;
+
+  /** So many machine seconds must be won by a move for each that it costs. */
+  private static final double MOVE_GAIN = 2;
+
+  /** A start that is stopped sooner does not count as one (PROTOCOL: 30 s). */
+  private static final double SETTLED_S = 32;
+
   private final Ports ports;
   private final Steward steward;
   private final Map<Offer, Mono> blocked = new HashMap<>();
@@ -59,7 +69,7 @@
   /** Machines to be given back: broken, silent, or idle for a while. */
   void review(List<HostName> retire) {
     Mono now = ports.now();
-    double report = ports.config.workers().reportS() * 1000;
+    double report = reportS() * 1000;
     double lease = ports.config.workers().leaseS() * 1000;
     Silence all = new Silence();
     Map<String, Silence> byZone = new HashMap<>();
@@ -176,6 +186,7 @@
     if (now.since(steward.readyAt()) < ports.tuning.idleReturnS() * 1000L) {
       return;
     }
+    vacate(draining);
     running.sort(dear.reversed().thenComparing(Host::usedCpus).thenComparing(h -> h.name));
     for (Host h : running) {
       if (have - h.type().cpus() < keep) {
@@ -186,6 +197,58 @@
     }
   }
 
+  /**
+   * Machines that are to go back run empty slowly, each held by its longest task. Tasks that can
+   * save move to where there is room, if their machine goes back so much sooner that it is worth
+   * the saving, the new start and perhaps another fetch.
+   */
+  private void vacate(List<Host> draining) {
+    double room = 0;
+    for (Host h : steward.hosts.values()) {
+      room += steward.usable(h) ? h.freeCpus() : 0;
+    }
+    for (Job j : steward.jobs.values()) {
+      room -= j.queued() * j.spec.cpus();
+    }
+    room *= MOVE_SHARE;
+    draining.sort(
+        Comparator.<Host>comparingDouble(h -> -h.type().price(h.info.spot()) / h.type().cpus())
+            .thenComparing(Host::usedCpus)
+            .thenComparing(h -> h.name));
+    for (Host h : draining) {
+      if (!h.draining || h.empty() || !steward.earshot.fresh(h) || h.deaf) {
+        continue;
+      }
+      List<LiveTask> movable = new ArrayList<>();
+      double cpus = 0;
+      double cost = 0;
+      double staysS = 0;
+      double leavesS = 0;
+      for (LiveTask t : h.live) {
+        double left = t.leftS(ports.now());
+        double move = t.job.spec.saveS() + h.fetchAnewS(t.job.spec) / 2 + reportS();
+        if (t.movable() && t.lost(ports.now()) > SETTLED_S) {
+          movable.add(t);
+          cpus += t.job.spec.cpus();
+          cost += t.job.spec.cpus() * move / h.type().cpus();
+          leavesS = Math.max(leavesS, left);
+          staysS = Math.max(staysS, move);
+        } else {
+          staysS = Math.max(staysS, left);
+        }
+      }
+      if (cpus <= room && leavesS - staysS > MOVE_GAIN * cost && !movable.isEmpty()) {
+        room -= cpus;
+        movable.forEach(t -> t.revoked = true);
+        ports.count("task.moved", movable.size());
+      }
+    }
+  }
+
+  private double reportS() {
+    return ports.config.workers().reportS();
+  }
+
   /** Of the machines that should be heard, how many are not. */
   private static final class Silence {
     int expected;
