Machines are rented and drained by room that waiting tasks fit into

Room is now what a waiting task fits into, use is the share of what a machine has the least of left, and a limited team's jobs count up to the limit.

--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -210,6 +210,13 @@
     return cpus;
   }
 
+  /** The share of it that is taken, of what there is the least of. */
+  double usedShare() {
+    double share = cpus / Math.max(1e-9, type.cpus());
+    share = Math.max(share, memoryGb / Math.max(1e-9, type.memoryGb()));
+    return type.gpus() > 0 ? Math.max(share, gpus / type.gpus()) : share;
+  }
+
   double freeCpus() {
     return type == null ? 0 : type.cpus() - cpus;
   }
--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Renting.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import shorecrank.coordination.Job.LiveTask;
@@ -160,7 +161,7 @@
           || h.noticed) {
         continue;
       }
-      used += h.usedCpus();
+      used += h.usedShare() * h.type().cpus();
       if (h.draining) {
         draining.add(h);
       } else {
@@ -168,7 +169,12 @@
         running.add(h);
       }
     }
-    double need = used + queuedNeed();
+    Map<Job, Integer> waiting = waiting();
+    double unfit = 0;
+    for (Map.Entry<Job, Integer> e : waiting.entrySet()) {
+      unfit += need(e.getKey(), e.getValue());
+    }
+    double need = used + unfit;
     peaks.removeIf(p -> now.since(p.at) > ports.tuning.idleReturnS() * 1000L);
     peaks.removeIf(p -> p.cpus <= need);
     peaks.add(new Peak(now, need));
@@ -176,17 +182,24 @@
     Comparator<Host> dear =
         Comparator.<Host>comparingDouble(h -> h.type().price(h.info.spot()) / h.type().cpus());
     draining.sort(dear.thenComparing(h -> h.name));
+    for (Host h : running) {
+      unfit -= steward.usable(h) ? roomFor(waiting, h) : 0;
+    }
     for (Host h : draining) {
-      if (have >= keep) {
+      if (have >= keep && unfit <= 0) {
         break;
       }
       h.draining = false;
       have += h.type().cpus();
+      unfit -= roomFor(waiting, h);
     }
     if (now.since(steward.readyAt()) < ports.tuning.idleReturnS() * 1000L) {
       return;
     }
     vacate(draining);
+    if (unfit > 0) {
+      return;
+    }
     running.sort(dear.reversed().thenComparing(Host::usedCpus).thenComparing(h -> h.name));
     for (Host h : running) {
       if (have - h.type().cpus() < keep) {
@@ -262,19 +275,45 @@
 
   private record Peak(Mono at, double cpus) {}
 
-  private double queuedNeed() {
-    double need = 0;
+  /** Tasks that wait for machines, by job; what waits for its team's limit needs none. */
+  private Map<Job, Integer> waiting() {
+    Map<Job, Integer> waiting = new LinkedHashMap<>();
+    Map<String, double[]> left = new HashMap<>();
     for (Job j : steward.jobs.values()) {
-      if (j.queued() > 0 && j.backoff == 0) {
-        need += need(j);
+      if (j.queued() == 0 || j.backoff > 0) {
+        continue;
+      }
+      double[] l = left.computeIfAbsent(j.spec.team(), steward::limitLeft);
+      int n = Steward.within(l, j);
+      if (n > 0) {
+        waiting.put(j, n);
+        l[0] -= n * j.spec.cpus();
+        l[1] -= n * j.spec.gpus();
+      }
+    }
+    return waiting;
+  }
+
+  /**
+   * Processors of a machine that waiting jobs can use. What is free is not always of use: a task
+   * may need more memory, or more processors, than any machine has left.
+   */
+  private double roomFor(Map<Job, Integer> waiting, Host h) {
+    double best = 0;
+    if (h.freeCpus() > 1e-9) {
+      for (Map.Entry<Job, Integer> e : waiting.entrySet()) {
+        JobSpec s = e.getKey().spec;
+        int n = Math.min(h.fits(s), e.getValue());
+        if (n > 0 && h.allowed(s)) {
+          best = Math.max(best, n * size(s, steward.catalog()));
+        }
       }
     }
-    return need;
+    return best;
   }
 
   /** Processors that would clear a job's queue in good time. */
-  private double need(Job j) {
-    int n = j.queued();
+  private double need(Job j, int n) {
     double parallel =
         Math.min(n, Math.ceil(n * Math.max(1, j.spec.estimateS()) / ports.tuning.clearS()));
     return parallel * size(j.spec, steward.catalog());
@@ -288,6 +327,10 @@
     }
     Mono now = ports.now();
     Map<String, HostType> catalog = steward.catalog();
+    Map<Job, Integer> waiting = waiting();
+    if (waiting.isEmpty()) {
+      return wants;
+    }
     double free = 0;
     for (Host h : steward.hosts.values()) {
       if (h.type() == null || !h.lent || h.retiring || h.noticed) {
@@ -296,23 +339,17 @@
       if (!h.reported()) {
         // One that takes far longer than usual may never come up.
         if (now.since(h.lentSince) < LONG_BOOT * 1000 * h.type().bootS()) {
-          free += h.type().cpus();
+          free += roomFor(waiting, h);
         }
       } else if (steward.usable(h)) {
-        free += h.freeCpus();
+        free += roomFor(waiting, h);
       }
     }
     double need = 0;
-    List<Job> queued = new ArrayList<>();
     Map<Job, Double> needs = new HashMap<>();
-    for (Job j : steward.jobs.values()) {
-      int n = j.queued();
-      if (n == 0 || j.backoff > 0) {
-        continue;
-      }
-      double cpus = need(j);
-      needs.put(j, cpus);
-      queued.add(j);
+    for (Map.Entry<Job, Integer> e : waiting.entrySet()) {
+      double cpus = need(e.getKey(), e.getValue());
+      needs.put(e.getKey(), cpus);
       need += cpus;
     }
     double deficit = need - free;
@@ -334,7 +371,7 @@
         Comparator.<Offer>comparingDouble(this::perCpu)
             .thenComparing(o -> perZone.getOrDefault(o.zone(), 0))
             .thenComparing(Offer::toString));
-    double slack = queued.stream().allMatch(this::served) ? 0.25 : 0;
+    double slack = waiting.keySet().stream().allMatch(this::served) ? 0.25 : 0;
     offers.removeIf(
         o -> {
           Mono until = blocked.get(o);
@@ -350,9 +387,9 @@
         Offer o = offers.get(i);
         HostType t = catalog.get(o.type());
         double eligible = 0;
-        for (Job j : queued) {
-          if (Placement.allowed(j.spec, o, t)) {
-            eligible += needs.get(j);
+        for (Map.Entry<Job, Double> e : needs.entrySet()) {
+          if (Placement.allowed(e.getKey().spec, o, t)) {
+            eligible += e.getValue();
           }
         }
         double cover = Math.min(eligible, deficit / (alike - i));
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -1286,7 +1286,7 @@
       for (int i = 0; i < Math.min(waiting.size(), urgent + NEAR) && !budget.spent(); i++) {
         Job j = waiting.get(i);
         if (i < urgent) {
-          place(j, allClaimed, room);
+          placeIfSure(j, allClaimed, room);
           start = i + 1;
         } else {
           List<Host> holders = new ArrayList<>();
@@ -1296,7 +1296,7 @@
             }
           }
           if (!holders.isEmpty()) {
-            place(j, allClaimed, holders);
+            placeIfSure(j, allClaimed, holders);
             room.removeIf(h -> h.freeCpus() <= 1e-9);
           }
         }
@@ -1307,15 +1307,15 @@
         cursor = waiting.get(i).id();
         return;
       }
-      place(waiting.get(i), allClaimed, room);
+      placeIfSure(waiting.get(i), allClaimed, room);
     }
   }
 
-  private void place(Job j, boolean allClaimed, List<Host> room) {
+  private void placeIfSure(Job j, boolean allClaimed, List<Host> room) {
     NodeConfig.Team team = ports.config.teams().get(j.spec.team());
     // Until every record is claimed, a late write of the last owner may add to the team's use.
     if (allClaimed || !limited(team)) {
-      place(j, team, room);
+      place(j, room);
     }
   }
 
@@ -1323,34 +1323,47 @@
     return team != null && (team.cpusMax() > 0 || team.gpusMax() > 0);
   }
 
-  private int quotaRoom(Job j, NodeConfig.Team team) {
+  /** What a team may still take: processors and accelerators. */
+  double[] limitLeft(String name) {
+    NodeConfig.Team team = ports.config.teams().get(name);
     if (team == null) {
-      return 0;
+      return new double[2];
     }
+    double[] left = {
+      team.cpusMax() > 0 ? team.cpusMax() : Double.MAX_VALUE,
+      team.gpusMax() > 0 ? team.gpusMax() : Double.MAX_VALUE
+    };
     if (!limited(team)) {
-      return j.spec.tasks();
+      return left;
     }
-    double[] u = teamUse.getOrDefault(j.spec.team(), new double[2]).clone();
+    double[] u = teamUse.getOrDefault(name, new double[2]);
+    left[0] -= u[0];
+    left[1] -= u[1];
     for (Host h : hosts.values()) {
       for (Host.Ghost g : h.ghosts) {
-        if (g.job().spec.team().equals(j.spec.team())) {
-          u[0] += g.job().spec.cpus();
-          u[1] += g.job().spec.gpus();
+        if (g.job().spec.team().equals(name)) {
+          left[0] -= g.job().spec.cpus();
+          left[1] -= g.job().spec.gpus();
         }
       }
     }
-    double n = j.spec.tasks();
-    if (team.cpusMax() > 0 && j.spec.cpus() > 0) {
-      n = Math.min(n, Math.floor((team.cpusMax() - u[0]) / j.spec.cpus() + 1e-9));
+    return left;
+  }
+
+  /** How many of a job's waiting tasks what is left of its team's limit allows. */
+  static int within(double[] left, Job j) {
+    double n = j.queued();
+    if (j.spec.cpus() > 0) {
+      n = Math.min(n, Math.floor(left[0] / j.spec.cpus() + 1e-9));
     }
-    if (team.gpusMax() > 0 && j.spec.gpus() > 0) {
-      n = Math.min(n, Math.floor((team.gpusMax() - u[1]) / j.spec.gpus() + 1e-9));
+    if (j.spec.gpus() > 0) {
+      n = Math.min(n, Math.floor(left[1] / j.spec.gpus() + 1e-9));
     }
     return (int) Math.max(0, n);
   }
 
-  private void place(Job j, NodeConfig.Team team, List<Host> room) {
-    int wanted = Math.min(j.queued(), quotaRoom(j, team));
+  private void place(Job j, List<Host> room) {
+    int wanted = within(limitLeft(j.spec.team()), j);
     if (Ordering.overdue(j, ports.wallMs())) {
       wanted = Math.min(wanted, 1 + j.spec.tasks() / Ordering.BEGIN_SHARE);
     }
