--- a/src/main/java/shorecrank/config/NodeConfig.java
+++ b/src/main/java/shorecrank/config/NodeConfig.java
@@ -25,6 +25,12 @@
     Limits limits) {
 
   public record Address(String host, int port) {
+    /** Of a text already known to be host and port. */
+    public static Address of(String s) {
+      int colon = s.lastIndexOf(':');
+      return new Address(s.substring(0, colon), Integer.parseInt(s.substring(colon + 1)));
+    }
+
     @Override
     public String toString() {
       return host + ":" + port;
--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -4,14 +4,19 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import shorecrank.coordination.Job.LiveTask;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Tenure;
+import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.WorkerMessages.Report;
@@ -32,6 +37,26 @@
   Mono lastHeard = Mono.NEVER;
   Mono firstHeard = Mono.NEVER;
 
+  /** What answers and commands to it carry; numbers under one epoch only rise. */
+  private Token token = Token.NONE;
+
+  /** The highest token it has shown: below that it takes no command any more. */
+  private Token shown = Token.NONE;
+
+  /** Where it takes commands outside the answers to its reports; empty if it has not said. */
+  String address = "";
+
+  /**
+   * Starts that went straight to it, and under which token. Until it shows a higher one, a copy or
+   * a message held back may start them, once more or only then.
+   */
+  private final Map<TaskRun, Token> direct = new HashMap<>();
+
+  /** Commands that went straight to it and are not answered, and those answered lately. */
+  int directOut;
+
+  int directAnswered;
+
   /** It has seen our epoch, so no earlier owner can renew its lease. */
   boolean confirmed;
 
@@ -109,6 +134,54 @@
     }
   }
 
+  /** The token to use at this epoch. */
+  Token token(Epoch epoch) {
+    Token least = Token.of(epoch);
+    if (least.above(token)) {
+      token = least;
+    }
+    return token;
+  }
+
+  /** For an answer: above that of all starts that went out directly, so that it ends them. */
+  Token tokenAbove(Epoch epoch) {
+    Token t = token(epoch);
+    if (!t.isLast() && direct.containsValue(t)) {
+      token = t.next();
+    }
+    return token;
+  }
+
+  /** Takes in what its report shows. */
+  void shows(Token t) {
+    shown = t;
+    direct.values().removeIf(t::above);
+  }
+
+  /** It has begun a new session and takes no command of an earlier one. */
+  void newSession() {
+    direct.clear();
+    images.clear();
+  }
+
+  /** Whether it takes commands directly: it is reached under our epoch, and a number is left. */
+  boolean takesDirect(Epoch epoch) {
+    return !address.isEmpty()
+        && confirmed
+        && shown.epoch().equals(epoch)
+        && parked < 0
+        && !token(epoch).isLast();
+  }
+
+  void sentDirectly(TaskRun r, Token t) {
+    direct.put(r, t);
+  }
+
+  /** Whether a command under way may yet start it. */
+  boolean mayStart(TaskRun r) {
+    return direct.containsKey(r);
+  }
+
   void add(LiveTask t) {
     if (live.add(t)) {
       wanted.addTo(t.job.spec.image(), 1);
@@ -198,10 +271,6 @@
     }
   }
 
-  void holdsNothing() {
-    images.clear();
-  }
-
   boolean empty() {
     return live.isEmpty() && ghosts.isEmpty();
   }
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -26,6 +26,7 @@
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages;
@@ -462,7 +463,7 @@
     // would walk it to its end.
     if (f.value() >= p.epoch.value()
         && pb.epoch().equals(p.epoch)
-        && f.value() < Long.MAX_VALUE / 2
+        && f.value() < Token.MAX_EPOCH / 2
         && !p.minting) {
       ports.info("part %s: owner at epoch %s was refused by epoch %s", id, p.epoch, f);
       mint(id, p, p.owner, p.writer, f.value());
--- a/src/main/java/shorecrank/coordination/Output.java
+++ b/src/main/java/shorecrank/coordination/Output.java
@@ -28,5 +28,8 @@
     CLOUD
   }
 
+  /** A machine's worker, where its report said it can be reached. */
+  record Worker(String address) implements Target {}
+
   record Peer(shorecrank.protocol.Ids.NodeLabel label) implements Target {}
 }
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -103,6 +103,10 @@
     call(Output.Service.CLOUD, method, path, body, timeoutMs, then);
   }
 
+  void worker(String address, String path, JsonNode body, int timeoutMs, OnAnswer then) {
+    call(new Output.Worker(address), "POST", path, body, timeoutMs, then);
+  }
+
   void peer(NodeLabel to, String path, JsonNode body, int timeoutMs, OnAnswer then) {
     call(new Output.Peer(to), "POST", path, body, timeoutMs, then);
   }
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -26,6 +26,7 @@
 import shorecrank.protocol.Ids.Mono;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages.HostInfo;
@@ -55,6 +56,12 @@
 
   private static final int WATCH_PAUSE_MS = 250;
 
+  /** So long a worker may take to answer a command; what is not answered may yet be carried out. */
+  private static final int DIRECT_MS = 1000;
+
+  /** A machine that reports so soon is told then. */
+  private static final int SOON_MS = 100;
+
   /** With less time left than this a job does not wait for a machine that holds its image. */
   private static final double URGENT_S = 3;
 
@@ -104,6 +111,10 @@
   private Map<String, HostType> catalog = Map.of();
 
   private int inFlight;
+
+  /** Commands that went straight to workers and are not answered. */
+  private int directOut;
+
   private Mono writeRetryAt = Mono.NEVER;
   private JobId cursor;
   final Earshot earshot;
@@ -582,9 +593,72 @@
             writeRetryAt = now.plus(80 + ports.random().nextInt(200));
           }
           answerParked(false);
+          if (status == 200) {
+            startDirectly(batch);
+          }
         });
   }
 
+  /**
+   * A start need not wait for its machine's next report. What goes straight to a worker may be held
+   * back or come twice, so it is under a token of its own: the next answer carries a higher one,
+   * and until the worker has shown that, nothing is concluded from what it does not list, and what
+   * it has done is not reaped.
+   */
+  private void startDirectly(List<Write> batch) {
+    Set<Host> to = new LinkedHashSet<>();
+    for (Write w : batch) {
+      if (w.last || jobs.get(w.job.id()) != w.job) {
+        continue;
+      }
+      for (LiveTask l : w.job.live.values()) {
+        if (l.seq == w.seq && !l.commanded && l.committed()) {
+          to.add(l.host);
+        }
+      }
+    }
+    for (Host h : to) {
+      if (!valid()
+          || directOut >= maxDirect()
+          || !h.known
+          || !h.takesDirect(epoch)
+          || h.toldInS(ports.now(), ports.config.workers().reportS()) * 1000 < SOON_MS) {
+        continue;
+      }
+      List<Order> orders = orders(h, true);
+      if (orders.stream().noneMatch(Start.class::isInstance)) {
+        continue;
+      }
+      Token token = h.token(epoch);
+      for (Order o : orders) {
+        if (o instanceof Start) {
+          h.sentDirectly(o.run(), token);
+        }
+      }
+      directOut++;
+      h.directOut++;
+      ports.count("orders.direct");
+      ports.worker(
+          h.address,
+          WorkerMessages.ORDERS,
+          WorkerMessages.direct(token, h.tenure, orders),
+          DIRECT_MS,
+          (status, body) -> {
+            directOut--;
+            h.directOut--;
+            h.directAnswered++;
+            if (status != 200) {
+              ports.count("orders.direct.failed");
+            }
+          });
+    }
+  }
+
+  /** Connections to workers come out of what is left beside those of users, workers and peers. */
+  private int maxDirect() {
+    return Math.max(4, ports.config.limits().sockets() / 20);
+  }
+
   private void committed(Write w, Stamp stamp) {
     Job j = w.job;
     j.stamp = stamp;
@@ -851,12 +925,13 @@
     int cmp = r.tenure().compareTo(h.tenure);
     boolean late = cmp < 0 || (cmp == 0 && r.serial() <= h.serial);
     // Of a session whose tasks were given up as surely gone, a report can only be late.
-    if (late || r.tenure().compareTo(h.deadTenure) <= 0 || r.epoch().above(epoch)) {
+    if (late || r.tenure().compareTo(h.deadTenure) <= 0 || r.token().epoch().above(epoch)) {
       ports.count("report.late");
       ports.reply(reply, 503, Json.error("not entitled, or the report is late"));
       return;
     }
-    if (r.epoch().compareTo(firstEpoch) < 0) {
+    h.address = r.address();
+    if (r.token().epoch().compareTo(firstEpoch) < 0) {
       // The worker has not seen our epoch, or this is a copy of a report from before it did, which
       // may come a lease late. It gets the token; its next report shows it, and only that counts.
       ports.count("report.unconfirmed");
@@ -865,14 +940,21 @@
       h.answered = true;
       // Copy or not: a session of this number has begun, so those before it have ended.
       loseOlder(h);
-      ports.reply(reply, 200, WorkerMessages.answer(epoch, List.of()));
+      ports.reply(reply, 200, WorkerMessages.answer(h.tokenAbove(epoch), List.of()));
       return;
     }
-    boolean stayed = cmp == 0 && r.serial() == h.serial + 1 && h.answered && h.parked < 0;
+    // Answers to what went straight to it are numbered with its reports.
+    boolean stayed =
+        cmp == 0
+            && r.serial() <= h.serial + 1 + h.directAnswered + h.directOut
+            && h.answered
+            && h.parked < 0;
+    h.directAnswered = 0;
     unpark(h);
     if (cmp > 0) {
-      h.holdsNothing();
+      h.newSession();
     }
+    h.shows(r.token());
     h.lastHeard = now;
     if (h.firstHeard == Mono.NEVER) {
       h.firstHeard = now;
@@ -883,7 +965,7 @@
     h.serial = r.serial();
     h.answered = true;
     if (stage != Stage.READY) {
-      ports.reply(reply, 200, WorkerMessages.answer(epoch, List.of()));
+      ports.reply(reply, 200, WorkerMessages.answer(h.tokenAbove(epoch), List.of()));
       return;
     }
     h.noticed = r.noticed();
@@ -895,7 +977,7 @@
       h.idleSince = now;
     }
     if (!commands) {
-      ports.reply(reply, 200, WorkerMessages.answer(epoch, List.of()));
+      ports.reply(reply, 200, WorkerMessages.answer(h.tokenAbove(epoch), List.of()));
       return;
     }
     if ((freed || awaitsCommit(h)) && ports.tuning.parkMs() > 0) {
@@ -906,7 +988,7 @@
       parked.add(h);
       kicked = true;
     } else {
-      ports.reply(reply, 200, WorkerMessages.answer(epoch, orders(h)));
+      ports.reply(reply, 200, WorkerMessages.answer(h.tokenAbove(epoch), orders(h, false)));
     }
   }
 
@@ -971,7 +1053,10 @@
         long reply = h.parked;
         h.parked = -1;
         ports.reply(
-            reply, 200, WorkerMessages.answer(epoch, valid() && !closed ? orders(h) : List.of()));
+            reply,
+            200,
+            WorkerMessages.answer(
+                h.tokenAbove(epoch), valid() && !closed ? orders(h, false) : List.of()));
       }
     }
   }
@@ -1037,7 +1122,9 @@
         // It left the list without a reap of ours: only a new session does that.
         ports.error("machine %s: %s vanished", h.name, l.run());
         lose(l);
-      } else if (h.confirmed && (l.job.aborted || l.revoked || h.noticed || h.retiring || h.deaf)) {
+      } else if (h.confirmed
+          && !h.mayStart(l.run())
+          && (l.job.aborted || l.revoked || h.noticed || h.retiring || h.deaf)) {
         // The worker executes what an answer says or drops it whole, and this report is younger
         // than all earlier answers: what it does not list was never started and never will be.
         lose(l);
@@ -1048,7 +1135,7 @@
   }
 
   /** What the worker is told, from its last report and what is committed by now. */
-  private List<Order> orders(Host h) {
+  private List<Order> orders(Host h, boolean direct) {
     List<Order> orders = new ArrayList<>();
     Set<LiveTask> listed = new HashSet<>();
     for (TaskReport t : h.report.tasks()) {
@@ -1070,8 +1157,9 @@
         ports.info("machine %s: unexpected %s stopped", h.name, t.run());
       } else {
         Long recorded = j == null ? null : j.exits.get(t.run());
-        if (recorded == null || recorded <= j.committedSeq) {
-          // Reaped only once no record names it: a repeated start would run it anew.
+        if ((recorded == null || recorded <= j.committedSeq) && !direct && !h.mayStart(t.run())) {
+          // Reaped only once no record names it and no start of it is under way: a repeated start
+          // would run it anew.
           orders.add(new Forget(t.run()));
         }
       }
@@ -1088,7 +1176,7 @@
           && !h.deaf
           && !h.retiring) {
         orders.add(new Start(l.run()));
-        l.ordered = true;
+        l.ordered |= !direct;
         if (!l.commanded) {
           l.commanded = true;
           ports.count("task.commanded");
--- a/src/main/java/shorecrank/protocol/Ids.java
+++ b/src/main/java/shorecrank/protocol/Ids.java
@@ -71,7 +71,7 @@
     }
   }
 
-  /** Fleet-wide fencing number; also a machine's term and the token in answers to workers. */
+  /** Fleet-wide fencing number; also a machine's term. */
   public record Epoch(long value) implements Comparable<Epoch> {
     public static final Epoch NONE = new Epoch(0);
 
@@ -90,6 +90,45 @@
     }
   }
 
+  /**
+   * What a worker is shown: the owner's epoch, and under it a number of the owner's own for each
+   * machine. Whoever holds a higher epoch has the higher token, whatever the numbers.
+   */
+  public record Token(long value) implements Comparable<Token> {
+    private static final int BITS = 24;
+
+    /** Epochs from here on have no tokens. */
+    public static final long MAX_EPOCH = 1L << (62 - BITS);
+
+    public static final Token NONE = new Token(0);
+
+    public static Token of(Epoch e) {
+      return new Token(e.value() << BITS);
+    }
+
+    public Epoch epoch() {
+      return new Epoch(value >>> BITS);
+    }
+
+    /** The next number under the same epoch; none is left after the last. */
+    public Token next() {
+      return new Token(value + 1);
+    }
+
+    public boolean isLast() {
+      return !next().epoch().equals(epoch());
+    }
+
+    public boolean above(Token o) {
+      return value > o.value;
+    }
+
+    @Override
+    public int compareTo(Token o) {
+      return Long.compare(value, o.value);
+    }
+  }
+
   /** Revision of a key's last change in the state service; 0 means the key does not exist. */
   public record Stamp(long value) {
     public static final Stamp ABSENT = new Stamp(0);
--- a/src/main/java/shorecrank/protocol/WorkerMessages.java
+++ b/src/main/java/shorecrank/protocol/WorkerMessages.java
@@ -5,18 +5,26 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import shorecrank.protocol.Ids.Attempt;
-import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Tenure;
+import shorecrank.protocol.Ids.Token;
 
 /** What workers report and what they are told. */
 public final class WorkerMessages {
   private WorkerMessages() {}
 
+  /** Where a worker takes commands outside the answers to its reports. */
+  public static final String ORDERS = "/orders";
+
+  /** Host names are not looked up. */
+  private static final Pattern ADDRESS =
+      Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[1-9][0-9]{0,4}");
+
   public enum TaskState {
     PULLING,
     RUNNING,
@@ -43,7 +51,8 @@
       boolean spot,
       Tenure tenure,
       long serial,
-      Epoch epoch,
+      Token token,
+      String address,
       double noticeS,
       List<TaskReport> tasks) {
     public boolean noticed() {
@@ -66,7 +75,7 @@
     String host = Json.text(n.path("host"));
     long tenure = Json.count(n.path("tenure"));
     long serial = Json.count(n.path("serial"));
-    long epoch = Json.count(n.path("epoch"));
+    long token = Json.count(n.path("epoch"));
     JsonNode pieces = n.path("pieces");
     if (host.isEmpty()
         || host.length() > 150
@@ -74,7 +83,7 @@
         || host.indexOf('/') >= 0
         || tenure < 0
         || serial < 0
-        || epoch < 0
+        || token < 0
         || !(pieces.isArray() || pieces.isMissingNode() || pieces.isNull())) {
       return null;
     }
@@ -94,11 +103,25 @@
         n.path("loaner").asBoolean(false),
         new Tenure(tenure),
         serial,
-        new Epoch(epoch),
+        new Token(token),
+        address(Json.text(n.path("addr"))),
         notice.isNumber() ? Math.max(0, notice.doubleValue()) : -1,
         tasks);
   }
 
+  /** Empty if it is no address: commands then go in answers only. */
+  private static String address(String s) {
+    if (!ADDRESS.matcher(s).matches()) {
+      return "";
+    }
+    int colon = s.indexOf(':');
+    boolean ok = Integer.parseInt(s.substring(colon + 1)) < 65_536;
+    for (String part : s.substring(0, colon).split("\\.")) {
+      ok &= Integer.parseInt(part) < 256;
+    }
+    return ok ? s : "";
+  }
+
   private static TaskReport task(JsonNode p) {
     String piece = Json.text(p.path("piece"));
     int slash = piece.lastIndexOf('/');
@@ -139,8 +162,16 @@
         new TaskRun(new JobId(piece.substring(0, slash)), index, new Attempt(attempt)), state, why);
   }
 
-  public static ObjectNode answer(Epoch epoch, List<Order> orders) {
-    ObjectNode n = Json.object().put("epoch", epoch.value());
+  public static ObjectNode answer(Token token, List<Order> orders) {
+    return write(Json.object().put("epoch", token.value()), orders);
+  }
+
+  /** What goes straight to a worker, which takes it only in this session and under this token. */
+  public static ObjectNode direct(Token token, Tenure tenure, List<Order> orders) {
+    return write(Json.object().put("epoch", token.value()).put("tenure", tenure.value()), orders);
+  }
+
+  private static ObjectNode write(ObjectNode n, List<Order> orders) {
     ArrayNode a = n.putArray("orders");
     for (Order o : orders) {
       ObjectNode e = a.addObject();
--- a/src/main/java/shorecrank/transport/HttpClientPool.java
+++ b/src/main/java/shorecrank/transport/HttpClientPool.java
@@ -148,6 +148,14 @@
         });
   }
 
+  /** Closes what is open and idle. */
+  void close() {
+    Channel ch;
+    while ((ch = free.pollLast()) != null) {
+      ch.close();
+    }
+  }
+
   private void closed() {
     open--;
     Call next = waiting.poll();
--- a/src/main/java/shorecrank/transport/Runtime.java
+++ b/src/main/java/shorecrank/transport/Runtime.java
@@ -25,6 +25,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import shorecrank.config.NodeConfig;
+import shorecrank.config.NodeConfig.Address;
 import shorecrank.config.NodeConfig.Member;
 import shorecrank.config.Tuning;
 import shorecrank.coordination.Core;
@@ -188,13 +189,27 @@
   }
 
   private void call(Output.Call c) {
+    HttpClientPool.OnAnswer then = (s, body) -> step(new Input.Answer(c.call(), s, body));
+    if (c.target() instanceof Output.Worker w) {
+      // There are hundreds of workers, and each is called rarely: no connection stays open.
+      HttpClientPool once = new HttpClientPool(loop, Address.of(w.address()), 1);
+      once.call(
+          c.method(),
+          c.path(),
+          c.body(),
+          c.timeoutMs(),
+          (s, body) -> {
+            once.close();
+            then.answer(s, body);
+          });
+      return;
+    }
     HttpClientPool pool;
     if (c.target() instanceof Output.Peer p) {
       pool = peers.get(p.label());
     } else {
       pool = c.target() == Output.Service.STATE ? state : cloud;
     }
-    HttpClientPool.OnAnswer then = (s, body) -> step(new Input.Answer(c.call(), s, body));
     if (pool == null) {
       JsonNode none = Json.parse(null);
       loop.execute(() -> then.answer(0, none));
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -279,7 +279,7 @@
       case "silence" ->
           machines(w, a[1]).forEach(x -> w.cutWorker(x, "worker", ms(a[2]), mode(a, 3)));
       case "deafen" ->
-          machines(w, a[1]).forEach(x -> w.cutWorker(x, "answers", ms(a[2]), Mode.DROP));
+          machines(w, a[1]).forEach(x -> w.cutWorker(x, "answers", ms(a[2]), mode(a, 3)));
       case "copies" -> w.copies(ms(a[1]), Double.parseDouble(a[2]), a.length > 3);
       case "unheard" -> w.unheard.add(a[1]);
       case "sick" -> machines(w, a[1]).forEach(x -> x.sick = true);
--- a/src/test/java/shorecrank/sim/Worker.java
+++ b/src/test/java/shorecrank/sim/Worker.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import shorecrank.protocol.Json;
 
 /** A stand-in for a machine and its worker, made from the protocol's page. */
@@ -156,8 +157,45 @@
     changed = true;
   }
 
+  String address() {
+    int i = Integer.parseInt(name.substring(2));
+    return "10.1." + i / 250 + "." + (1 + i % 250) + ":9000";
+  }
+
+  /** Commands that come by themselves; a hung machine reads them once it goes on. */
+  void direct(JsonNode body, BiConsumer<Integer, JsonNode> answer) {
+    if (dead) {
+      return;
+    }
+    if (hung()) {
+      world.sim.at(hungUntil, () -> direct(body, answer));
+      return;
+    }
+    lease();
+    long token = body.path("epoch").asLong(-1);
+    if (token < epoch || body.path("tenure").asLong(-1) != tenure) {
+      answer.accept(409, report());
+      return;
+    }
+    sees(token);
+    for (JsonNode o : body.path("orders")) {
+      execute(o);
+    }
+    answer.accept(200, report());
+  }
+
+  private void sees(long token) {
+    if (token > epoch) {
+      epoch = token;
+      if (now() - epochChangeAt > world.leaseS * 500) {
+        epochChangeAt = now();
+        changed = true;
+      }
+    }
+  }
+
   ObjectNode report() {
-    ObjectNode n = Json.object().put("host", name).put("addr", "10.1.0.1:9000");
+    ObjectNode n = Json.object().put("host", name).put("addr", address());
     n.put("hosttype", type).put("site", zone).put("loaner", spot);
     n.put("tenure", tenure).put("serial", ++serial).put("epoch", epoch);
     if (notice >= 0) {
@@ -251,13 +289,7 @@
     if (token < epoch || sentTenure != tenure) {
       return;
     }
-    if (token > epoch) {
-      epoch = token;
-      if (now() - epochChangeAt > world.leaseS * 500) {
-        epochChangeAt = now();
-        changed = true;
-      }
-    }
+    sees(token);
     lastAnsweredSent = sent;
     for (JsonNode o : answer.path("orders")) {
       execute(o);
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -360,6 +360,10 @@
           }
         };
     sim.after(c.timeoutMs(), () -> back.accept(0, Json.parse(null)));
+    if (c.target() instanceof Output.Worker w) {
+      direct(from, w.address(), c.body(), back);
+      return;
+    }
     String kind =
         c.target() instanceof Output.Peer
             ? "peers"
@@ -399,6 +403,27 @@
         });
   }
 
+  /** A command straight to a worker: held or copied, it may be carried out long after. */
+  private void direct(
+      Node from, String address, JsonNode body, BiConsumer<Integer, JsonNode> back) {
+    Worker w =
+        workers.values().stream().filter(x -> x.address().equals(address)).findFirst().orElse(null);
+    if (w == null) {
+      sim.after(delay(), () -> back.accept(0, Json.parse(null)));
+      return;
+    }
+    through(
+        workerCut(w, from, true),
+        () ->
+            w.direct(body, (s, b) -> through(workerCut(w, from, false), () -> back.accept(s, b))));
+    if (sim.now < copiesUntil) {
+      int most = (int) (copiesUpToS * 1000);
+      sim.after(
+          copiesInOrder ? most : 500 + sim.random.nextInt(most),
+          () -> w.direct(body, (s, b) -> {}));
+    }
+  }
+
   private Cut peerCut(Node a, Node b) {
     Cut c = a.cut("peers");
     c = c != null ? c : b.cut("peers");
