Jobs that ask for an eighth of what others ask for go before them

Cause: under a shortage acta-jurado (2,400 processor seconds) waited behind toma-audicion (90,000) that had less time left, until its own aims were lost as well.

--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -41,6 +41,12 @@
    */
   private static final double OWED_S = 2;
 
+  /**
+   * A job that asks for so many times less than others do for what it counts goes before them: it
+   * hardly delays them.
+   */
+  private static final double SMALL = 8;
+
   /** Machines are never all busy with what was placed best: room is lost to shapes and images. */
   private static final double USABLE = 0.75;
 
@@ -148,14 +154,22 @@
     }
     List<Job> order = new ArrayList<>(waiting.size());
     order.addAll(first);
+    double most = 0;
+    for (Entry e : reachable) {
+      most = Math.max(most, e.work() / e.weight());
+    }
+    List<Job> large = new ArrayList<>();
     for (Entry e : reachable) {
       if (back.contains(e.job())) {
         rest.add(e.job());
         e.job().slackS = Double.MAX_VALUE;
-      } else {
+      } else if (e.work() / e.weight() * SMALL < most) {
         order.add(e.job());
+      } else {
+        large.add(e.job());
       }
     }
+    order.addAll(large);
     rest.sort(
         Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
             .thenComparingDouble(Job::workLeft)
