--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -124,7 +124,11 @@
           p.zones = List.of(o.getOrDefault("zones", "a").split(","));
           w.types.put(a[1], p);
         }
-        case "team" -> w.teamMax.put(a[1], number(options(a, 2), "max", 0));
+        case "team" -> {
+          Map<String, String> o = options(a, 2);
+          w.teamMax.put(a[1], number(o, "max", 0));
+          w.teamOwn.put(a[1], number(o, "own", 0));
+        }
         case "aim" -> {
           Map<String, String> o = options(a, 3);
           w.objectives.add(
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -188,6 +188,7 @@
   final Map<String, TypePlan> types = new TreeMap<>();
   final Map<String, JobPlan> plans = new TreeMap<>();
   final Map<String, Double> teamMax = new TreeMap<>();
+  final Map<String, Double> teamOwn = new TreeMap<>();
   final Set<String> submitted = new HashSet<>();
   final Set<String> cancelAsked = new HashSet<>();
   final Set<String> results = new HashSet<>();
@@ -265,7 +266,7 @@
             teams
                 .addObject()
                 .put("name", name)
-                .put("cpus", 0.0)
+                .put("cpus", teamOwn.getOrDefault(name, 0.0))
                 .put("cpus_max", max)
                 .put("gpus", 0.0)
                 .put("gpus_max", 0.0));
