--- a/src/main/java/shorecrank/coordination/Cancellations.java
+++ b/src/main/java/shorecrank/coordination/Cancellations.java
@@ -8,12 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import shorecrank.config.NodeConfig;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.Mono;
 import shorecrank.protocol.Ids.NodeLabel;
-import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.PeerMessages;
 import shorecrank.protocol.PeerMessages.Confirmed;
 
@@ -28,7 +26,9 @@
 final class Cancellations {
   private static final int CALL_MS = 900;
   private static final int PULL_MS = 1000;
-  private static final int PUSH_AGAIN_MS = 1000;
+
+  /** A watch shows something every two seconds; after this the others are asked. */
+  private static final int BLIND_MS = 3000;
 
   /** So long the own confirmations are kept to be told; a grace is never that long. */
   private static final int KEEP_MS = 900_000;
@@ -48,17 +48,10 @@
     Span before;
     boolean asking;
     Mono askAt = new Mono(0);
-
-    /** Confirmations it has not acknowledged, and since when they wait. */
-    final Map<JobId, Mono> unacknowledged = new LinkedHashMap<>();
-
-    Mono pushAt = new Mono(0);
-    boolean pushing;
   }
 
   private final Ports ports;
   private final Map<NodeLabel, Member> members = new LinkedHashMap<>();
-  private final Function<PartId, NodeLabel> ownerOf;
   private final Consumer<JobId> learned;
 
   /** What this controller has confirmed itself, and when first. */
@@ -71,9 +64,8 @@
   private final Cache<JobId, Boolean> known =
       Caffeine.newBuilder().maximumSize(MAX_KEPT).executor(Runnable::run).build();
 
-  Cancellations(Ports ports, Function<PartId, NodeLabel> ownerOf, Consumer<JobId> learned) {
+  Cancellations(Ports ports, Consumer<JobId> learned) {
     this.ports = ports;
-    this.ownerOf = ownerOf;
     this.learned = learned;
     for (NodeConfig.Member m : ports.config.members()) {
       members.put(m.label(), new Member());
@@ -89,12 +81,8 @@
     known.put(id, true);
   }
 
-  /**
-   * A user is being told that the job is cancelled; the part's owner is told too.
-   *
-   * @param part null if the owner knows
-   */
-  void confirmed(JobId id, PartId part) {
+  /** A user is being told that the job is cancelled. */
+  void confirmed(JobId id) {
     if (own.putIfAbsent(id, ports.now()) != null) {
       return;
     }
@@ -102,11 +90,6 @@
       dropOldest();
     }
     told(id);
-    NodeLabel owner = part == null ? null : ownerOf.apply(part);
-    Member m = owner == null ? null : members.get(owner);
-    if (m != null) {
-      m.unacknowledged.put(id, ports.now());
-    }
   }
 
   private void dropOldest() {
@@ -147,15 +130,12 @@
     while (!own.isEmpty() && now.since(own.values().iterator().next()) > KEEP_MS) {
       dropOldest();
     }
-    boolean blind = blindSince != Mono.NEVER && now.since(blindSince) > ports.evidenceMs() / 3;
+    boolean blind = blindSince != Mono.NEVER && now.since(blindSince) > BLIND_MS;
     members.forEach(
         (label, m) -> {
           if (blind && !m.asking && !now.before(m.askAt)) {
             pull(label, m, blindSince);
           }
-          if (!m.unacknowledged.isEmpty() && !m.pushing && !now.before(m.pushAt)) {
-            push(label, m);
-          }
         });
   }
 
@@ -166,8 +146,8 @@
     ports.count("cancellations.asked");
     ports.peer(
         label,
-        PeerMessages.CANCELLED,
-        PeerMessages.cancelled(List.of(), sent.since(since) + 2000),
+        PeerMessages.CONFIRMED,
+        PeerMessages.confirmedWithin(sent.since(since) + 2000),
         CALL_MS,
         (status, body) -> {
           m.asking = false;
@@ -196,30 +176,6 @@
     }
   }
 
-  private void push(NodeLabel label, Member m) {
-    Mono now = ports.now();
-    double longest = 2000 * ports.config.workers().cancelS();
-    m.unacknowledged.values().removeIf(at -> now.since(at) > longest);
-    List<JobId> batch = m.unacknowledged.keySet().stream().limit(PeerMessages.MAX_ASKED).toList();
-    if (batch.isEmpty()) {
-      return;
-    }
-    m.pushing = true;
-    m.pushAt = now.plus(PUSH_AGAIN_MS);
-    ports.peer(
-        label,
-        PeerMessages.CANCELLED,
-        PeerMessages.cancelled(batch, 0),
-        CALL_MS,
-        (status, body) -> {
-          m.pushing = false;
-          if (status == 200) {
-            batch.forEach(m.unacknowledged::remove);
-            m.pushAt = ports.now();
-          }
-        });
-  }
-
   /** Another controller has told a user that the job is cancelled. */
   private void told(JobId id) {
     if (!known(id)) {
@@ -228,11 +184,9 @@
     }
   }
 
-  /** Another controller tells of confirmations, or asks for those made here in a span. */
-  JsonNode answer(Confirmed message) {
+  /** What was confirmed here in so many milliseconds, for another controller. */
+  JsonNode answer(long within) {
     Mono now = ports.now();
-    message.ids().forEach(this::told);
-    long within = message.spanMs();
     long span = Math.min(within, ownFrom == Mono.NEVER ? 0 : now.since(ownFrom));
     List<JobId> ids = new ArrayList<>();
     List<Map.Entry<JobId, Mono>> all = new ArrayList<>(within > 0 ? own.entrySet() : List.of());
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -94,7 +94,7 @@
     this.ports = new Ports(config, tuning, writer);
     this.election = new Election(ports);
     this.leader = new Leader(ports, election);
-    this.cancellations = new Cancellations(ports, this::ownerOf, this::learnCancelled);
+    this.cancellations = new Cancellations(ports, this::learnCancelled);
     this.desk = new UserDesk(ports, cancellations, this::askOwner, this::relay);
   }
 
@@ -152,11 +152,6 @@
     cancellations.tick(blindSince);
   }
 
-  private NodeLabel ownerOf(PartId part) {
-    OwnerInfo o = owners.get(part);
-    return o == null ? null : o.label();
-  }
-
   private void learnCancelled(JobId id) {
     stewards.values().forEach(s -> s.learnCancelled(id));
   }
@@ -266,7 +261,7 @@
     switch (path) {
       case PeerMessages.BEAT -> only("POST", r, () -> peerBeat(r));
       case PeerMessages.ASK -> only("POST", r, () -> peerAsk(r));
-      case PeerMessages.CANCELLED -> only("POST", r, () -> peerCancelled(r));
+      case PeerMessages.CONFIRMED -> only("POST", r, () -> peerConfirmed(r));
       case PeerMessages.RELAY -> only("POST", r, () -> relayed(r));
       case PeerMessages.NUDGE ->
           only(
@@ -280,13 +275,13 @@
     }
   }
 
-  private void peerCancelled(Input.Request r) {
-    PeerMessages.Confirmed c = PeerMessages.readCancelled(Json.parse(r.body()));
-    if (c == null) {
-      malformed(r, "word of cancellations");
+  private void peerConfirmed(Input.Request r) {
+    long within = PeerMessages.readConfirmedWithin(Json.parse(r.body()));
+    if (within < 0) {
+      malformed(r, "question");
       return;
     }
-    ports.reply(r.reply(), 200, cancellations.answer(c));
+    ports.reply(r.reply(), 200, cancellations.answer(within));
   }
 
   private void malformed(Input.Request r, String what) {
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -192,14 +192,10 @@
   /** Whoever is told that a job is cancelled counts on the end of its tasks from then on. */
   private void told(Found f) {
     if (f instanceof Found.Unfinished u && u.record.aborted()) {
-      cancellations.confirmed(u.record.spec().id(), partOf(u.record));
+      cancellations.confirmed(u.record.spec().id());
     }
   }
 
-  private PartId partOf(JobRecord r) {
-    return PartId.of(r.spec().team(), ports.tuning.parts());
-  }
-
   private void answerKnown(Ask ask, JobId id, Found f) {
     told(f);
     ports.reply(ask.reply(), 200, UserMessages.phase(id, f.standing().phase()));
@@ -227,7 +223,7 @@
             if (r == null) {
               unknown.run();
             } else {
-              partOf.put(id, partOf(r));
+              partOf.put(id, PartId.of(r.spec().team(), ports.tuning.parts()));
               found.accept(new Found.Unfinished(r, e.stamp()));
             }
           } else if (status == 404) {
@@ -277,7 +273,7 @@
             return;
           }
           if (standing.phase() == Phase.WITHDRAWN) {
-            cancellations.confirmed(id, null);
+            cancellations.confirmed(id);
           }
           ports.reply(ask.reply(), 200, UserMessages.status(id, standing));
         });
@@ -362,7 +358,7 @@
         (status, body) -> {
           if (status == 200) {
             ports.count("job.cancelled");
-            cancellations.confirmed(id, partOf(r));
+            cancellations.confirmed(id);
             ports.reply(ask.reply(), 200, UserMessages.phase(id, Phase.WITHDRAWN));
           } else if (status == 409 || status == 0) {
             // Changed meanwhile, or not known: look again and write behind what is there now.
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -29,8 +29,8 @@
   public static final String ASK = "/peer/ask";
   public static final String RELAY = "/peer/relay";
 
-  /** Tells of confirmed cancellations, and asks for those confirmed at the other. */
-  public static final String CANCELLED = "/peer/cancelled";
+  /** Asks which cancellations the other has confirmed to users. */
+  public static final String CONFIRMED = "/peer/confirmed";
 
   /** So many confirmed cancellations at most are told of in one message. */
   public static final int MAX_CONFIRMED = 2000;
@@ -254,21 +254,14 @@
   /** All cancellations that a controller has confirmed to users in the last {@code spanMs}. */
   public record Confirmed(long spanMs, List<JobId> ids) {}
 
-  /**
-   * @param ids confirmed by the sender
-   * @param withinMs how far back the other is to say what it has confirmed; 0 if not at all
-   */
-  public static ObjectNode cancelled(Collection<JobId> ids, long withinMs) {
-    ObjectNode n = Json.object().put("withinMs", withinMs);
-    ArrayNode a = n.putArray("ids");
-    ids.forEach(id -> a.add(id.value()));
-    return n;
+  /** Asks for what the other has confirmed lately. */
+  public static ObjectNode confirmedWithin(long ms) {
+    return Json.object().put("withinMs", ms);
   }
 
-  /** Null if malformed. */
-  public static Confirmed readCancelled(JsonNode n) {
-    long within = Json.count(n.path("withinMs"));
-    return within < 0 ? null : ids(n, within);
+  /** Negative if malformed. */
+  public static long readConfirmedWithin(JsonNode n) {
+    return Json.count(n.path("withinMs"));
   }
 
   public static ObjectNode write(Confirmed c) {
@@ -281,21 +274,17 @@
   /** Null if malformed. */
   public static Confirmed readConfirmed(JsonNode n) {
     long span = Json.count(n.path("spanMs"));
-    return span < 0 ? null : ids(n, span);
-  }
-
-  private static Confirmed ids(JsonNode n, long ms) {
-    List<JobId> l = new ArrayList<>();
-    if (!n.path("ids").isArray() || n.path("ids").size() > MAX_CONFIRMED) {
+    if (span < 0 || !n.path("ids").isArray() || n.path("ids").size() > MAX_CONFIRMED) {
       return null;
     }
+    List<JobId> l = new ArrayList<>();
     for (JsonNode id : n.path("ids")) {
       if (!id.isTextual() || !JobSpec.idOk(id.textValue())) {
         return null;
       }
       l.add(new JobId(id.textValue()));
     }
-    return new Confirmed(ms, l);
+    return new Confirmed(span, l);
   }
 
   /** A user's request as it came. */
