Pipelines: jobs wait for others, by records alone; announced lower limits of the state service

prereqs in a submission: a job is placed once each job it names is recorded as done, and is cancelled with any of them; an answer on one that waits looks at what it needs. Who needs whom is an index in memory rebuilt from the records (Dependencies); a job counts as the most urgent of those that need it and has to leave them their time before their deadline. state.next: the lower of both limits holds from the start; machines' shelves are split by size; a transaction that is too large is tried job by job, and a job that does not fit is placed no further.

--- a/src/main/java/shorecrank/config/NodeConfig.java
+++ b/src/main/java/shorecrank/config/NodeConfig.java
@@ -47,7 +47,16 @@
 
   public record Workers(double reportS, double leaseS, double cancelS) {}
 
-  public record State(double rps, double writeRps, double valueKb, int txnOps) {}
+  /** Limits of the state service. */
+  public record State(double rps, double writeRps, double valueKb, int txnOps) {
+    State within(State o) {
+      return new State(
+          Math.min(rps, o.rps),
+          Math.min(writeRps, o.writeRps),
+          Math.min(valueKb, o.valueKb),
+          Math.min(txnOps, o.txnOps));
+    }
+  }
 
   public record Cloud(double rps, double listLagS) {}
 
@@ -100,6 +109,13 @@
     }
     JsonNode w = s.path("workers");
     JsonNode st = s.path("state");
+    State now = state(st, "settings.state.", new State(100, 50, 16, 16));
+    JsonNode next = st.path("next");
+    if (!next.isObject() && !next.isMissingNode() && !next.isNull()) {
+      throw new Invalid("settings.state.next must be an object with limits");
+    }
+    // The lower limits come without notice, so only what both allow is ever written.
+    State state = next.isObject() ? now.within(state(next, "settings.state.next.", now)) : now;
     JsonNode c = s.path("cloud");
     JsonNode q = s.path("quota");
     return new NodeConfig(
@@ -116,11 +132,7 @@
             number(w, "report_s", "settings.workers.", 0.01, 3600, 3),
             number(w, "lease_s", "settings.workers.", 0.1, 86400, 30),
             number(w, "cancel_s", "settings.workers.", 0.1, 86400, 60)),
-        new State(
-            number(st, "rps", "settings.state.", 1, 1e9, 100),
-            number(st, "write_rps", "settings.state.", 1, 1e9, 50),
-            number(st, "value_kb", "settings.state.", 1, 64, 16),
-            (int) number(st, "txn_ops", "settings.state.", 4, 100000, 16)),
+        state,
         new Cloud(
             number(c, "rps", "settings.cloud.", 0.1, 1e9, 4),
             number(c, "list_lag_s", "settings.cloud.", 0, 3600, 5)),
@@ -130,6 +142,14 @@
             (int) number(q, "sockets", "settings.quota.", 16, 1e9, 1000)));
   }
 
+  private static State state(JsonNode n, String in, State unset) throws Invalid {
+    return new State(
+        number(n, "rps", in, 1, 1e9, unset.rps),
+        number(n, "write_rps", in, 1, 1e9, unset.writeRps),
+        number(n, "value_kb", in, 1, 64, unset.valueKb),
+        (int) number(n, "txn_ops", in, 4, 100000, unset.txnOps));
+  }
+
   private static String text(JsonNode n, String f, String name) throws Invalid {
     JsonNode v = n.path(f);
     if (!v.isTextual() || v.textValue().isBlank()) {
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -116,6 +117,9 @@
   /** The latest stamp a watch has shown; above ours, somebody else has written meanwhile. */
   Stamp seenStamp = Stamp.ABSENT;
 
+  /** A transaction with it was too large; it goes alone until it is through. */
+  boolean alone;
+
   boolean inFlight;
   boolean rereading;
   Urgency dirty = Urgency.NONE;
@@ -133,6 +137,15 @@
   /** Exits seen but not yet recorded: the write that will hold them. */
   final Map<TaskRun, Long> exits = new HashMap<>();
 
+  /** Jobs that have to be done first, as far as they are not known to be recorded as done. */
+  final Set<JobId> awaits = new LinkedHashSet<>();
+
+  /** Since when it waits for no other job; its acceptance if it names none. */
+  long readyAtMs;
+
+  /** The most urgent of its own priority and of those that need it. */
+  JobSpec.Priority priority;
+
   Mono placeAfter = Mono.NEVER;
 
   /** Seconds until it must get room to reach an aim, as found when jobs were last put in order. */
@@ -154,6 +167,9 @@
     this.dirtyJobs = dirtyJobs;
     this.spec = r.spec();
     this.acceptedAtMs = r.acceptedAtMs();
+    this.readyAtMs = acceptedAtMs;
+    this.priority = spec.priority();
+    this.awaits.addAll(spec.prerequisites());
     this.base = life << 24;
     this.seq = base;
     adoptHead(r, stamp);
@@ -176,6 +192,10 @@
     writer = r.writer();
     committedSeq = seq;
     tries = Math.max(tries, r.tries());
+    if (tries > 0) {
+      // It was placed once, so all that it needs was recorded as done.
+      awaits.clear();
+    }
     aborted |= r.aborted();
     done.clear();
     done.or(r.done());
@@ -192,7 +212,7 @@
   }
 
   int queued() {
-    return aborted ? 0 : Math.max(0, spec.tasks() - taken.cardinality());
+    return aborted || !awaits.isEmpty() ? 0 : Math.max(0, spec.tasks() - taken.cardinality());
   }
 
   int nextQueued(int from) {
@@ -241,6 +261,11 @@
     return (wallMs - acceptedAtMs) / 1000.0;
   }
 
+  /** How long it has waited for nothing but room. */
+  double readyS(long wallMs) {
+    return (wallMs - readyAtMs) / 1000.0;
+  }
+
   /** What is still to be done, in processor seconds by the owner's estimate. */
   double workLeft() {
     return (spec.tasks() - done.cardinality()) * Math.max(0.1, spec.cpus()) * spec.estimateS();
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -141,7 +141,7 @@
    * The stamps of the shelves as last read or written: an own write without an answer may come
    * after a later one, and must not put what was there before in its place.
    */
-  private final Map<Integer, Stamp> shelfStamps = new HashMap<>();
+  private final Map<String, Stamp> shelfStamps = new TreeMap<>();
 
   private Mono saveAt = new Mono(0);
   private final Budget cloudCalls;
@@ -694,10 +694,44 @@
   }
 
   private void shelfStamp(StoreMessages.Entry e) {
-    String shelf = e.key().substring(HOSTS.length());
-    if (shelf.matches("[0-9]{1,4}")) {
-      shelfStamps.put(Integer.parseInt(shelf), e.stamp());
+    shelfStamps.put(e.key(), e.stamp());
+  }
+
+  /**
+   * What stands on a shelf, in as many values as the store's limit on one asks for. One that was
+   * needed before is written empty: every version reads all that is there.
+   */
+  private Map<String, ArrayNode> boards(int shelf, List<Host> on) {
+    Map<String, ArrayNode> boards = new TreeMap<>();
+    double max = ports.config.state().valueKb() * 1024 * 0.9;
+    String key = HOSTS + shelf;
+    ArrayNode board = Json.array();
+    boards.put(key, board);
+    int bytes = 20;
+    for (Host h : on) {
+      ArrayNode one =
+          Json.array()
+              .add(h.info.name().value())
+              .add(h.info.type())
+              .add(h.info.zone())
+              .add(h.info.spot())
+              .add(h.part.value())
+              .add(h.term.value());
+      int more = Json.bytes(one).length + 1;
+      if (bytes + more > max && !board.isEmpty()) {
+        board = Json.array();
+        boards.put(key + "." + boards.size(), board);
+        bytes = 20;
+      }
+      board.add(one);
+      bytes += more;
+    }
+    for (String known : shelfStamps.keySet()) {
+      if (known.startsWith(key + ".") && !boards.containsKey(known)) {
+        boards.put(known, Json.array());
+      }
     }
+    return boards;
   }
 
   /** Something else is on the shelves than we wrote last: a write of ours that came late. */
@@ -715,6 +749,7 @@
             return;
           }
           if (status == 200) {
+            shelfStamps.clear();
             StoreMessages.entries(body).forEach(this::shelfStamp);
           }
           saveAt = ports.now().plus(SAVE_PAUSE_MS);
@@ -730,41 +765,38 @@
     if (saving || unsaved.isEmpty() || now.before(saveAt)) {
       return;
     }
-    int n = Math.min(unsaved.size(), ports.config.state().txnOps());
-    n = (int) Math.max(1, Math.min(n, ports.writes.rate() / 2));
-    if (!ports.writes.has(n, now)) {
+    int most = (int) Math.max(1, Math.min(ports.config.state().txnOps(), ports.writes.rate() / 2));
+    Map<Integer, List<Host>> onShelf = new TreeMap<>();
+    unsaved.forEach(shelf -> onShelf.put(shelf, new ArrayList<>()));
+    for (Host h : hosts.values()) {
+      List<Host> on = onShelf.get(shelf(h.info.name()));
+      if (on != null) {
+        on.add(h);
+      }
+    }
+    List<Integer> batch = new ArrayList<>();
+    Map<String, ArrayNode> values = new TreeMap<>();
+    for (Map.Entry<Integer, List<Host>> e : onShelf.entrySet()) {
+      Map<String, ArrayNode> boards = boards(e.getKey(), e.getValue());
+      if (!batch.isEmpty() && values.size() + boards.size() > most) {
+        break;
+      }
+      batch.add(e.getKey());
+      values.putAll(boards);
+    }
+    if (!ports.writes.has(values.size(), now)) {
       return;
     }
-    ports.writes.take(n, now);
+    ports.writes.take(values.size(), now);
     saving = true;
     // Machines that come at once are written together.
     saveAt = now.plus(SAVE_PAUSE_MS);
-    List<Integer> batch = new ArrayList<>();
-    StoreMessages.Txn t = new StoreMessages.Txn().guard(Election.KEY, loadedTerm);
-    Map<Integer, ArrayNode> shelves = new TreeMap<>();
-    for (int shelf : unsaved) {
-      if (batch.size() < n) {
-        batch.add(shelf);
-        shelves.put(shelf, Json.array());
-      }
-    }
     unsaved.removeAll(batch);
-    for (Host h : hosts.values()) {
-      ArrayNode on = shelves.get(shelf(h.info.name()));
-      if (on != null) {
-        on.addArray()
-            .add(h.info.name().value())
-            .add(h.info.type())
-            .add(h.info.zone())
-            .add(h.info.spot())
-            .add(h.part.value())
-            .add(h.term.value());
-      }
-    }
-    shelves.forEach(
-        (shelf, on) ->
-            t.guard(HOSTS + shelf, shelfStamps.getOrDefault(shelf, Stamp.ABSENT))
-                .write(HOSTS + shelf, Json.object().set("m", on)));
+    StoreMessages.Txn t = new StoreMessages.Txn().guard(Election.KEY, loadedTerm);
+    values.forEach(
+        (key, on) ->
+            t.guard(key, shelfStamps.getOrDefault(key, Stamp.ABSENT))
+                .write(key, Json.object().set("m", on)));
     Stamp term = loadedTerm;
     ports.state(
         "POST",
@@ -778,7 +810,7 @@
           }
           if (status == 200) {
             Stamp stamp = new Stamp(StoreMessages.revision(body));
-            batch.forEach(shelf -> shelfStamps.put(shelf, stamp));
+            values.keySet().forEach(key -> shelfStamps.put(key, stamp));
             return;
           }
           unsaved.addAll(batch);
--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/Ordering.java
@@ -64,8 +64,14 @@
 
   private final Set<Job> known = new HashSet<>();
 
-  Ordering(Ports ports) {
+  private final Dependencies dependencies;
+
+  /** How fast the fleet's machines fetch images, as last seen. */
+  private double fetchGbPerS = 0.2;
+
+  Ordering(Ports ports, Dependencies dependencies) {
     this.ports = ports;
+    this.dependencies = dependencies;
     for (Objective o : ports.config.objectives()) {
       List<Aim> l = aims.computeIfAbsent(o.jobClass(), k -> new ArrayList<>());
       switch (o.kind()) {
@@ -87,7 +93,7 @@
   }
 
   static boolean overdue(Job j, long wallMs) {
-    return j.tries == 0 && j.doneCount() == 0 && j.ageS(wallMs) > BEGIN_S;
+    return j.tries == 0 && j.doneCount() == 0 && j.awaits.isEmpty() && j.readyS(wallMs) > BEGIN_S;
   }
 
   /**
@@ -107,6 +113,7 @@
       double soonS,
       double busyWork) {
     long wall = ports.wallMs();
+    this.fetchGbPerS = fetchGbPerS > 0 ? fetchGbPerS : this.fetchGbPerS;
     List<Job> first = new ArrayList<>();
     List<Entry> reachable = new ArrayList<>();
     List<Job> rest = new ArrayList<>();
@@ -171,7 +178,7 @@
     }
     order.addAll(large);
     rest.sort(
-        Comparator.<Job, JobSpec.Priority>comparing(j -> j.spec.priority())
+        Comparator.<Job, JobSpec.Priority>comparing(j -> j.priority)
             .thenComparingDouble(Job::workLeft)
             .thenComparing(Job::id));
     order.addAll(rest);
@@ -195,7 +202,7 @@
     for (Job j : jobs) {
       j.owed = false;
       NodeConfig.Team t = ports.config.teams().get(j.spec.team());
-      if (t != null && (t.cpus() > 0 || t.gpus() > 0) && !j.aborted) {
+      if (t != null && (t.cpus() > 0 || t.gpus() > 0) && !j.aborted && j.awaits.isEmpty()) {
         byTeam.computeIfAbsent(j.spec.team(), k -> new ArrayList<>()).add(j);
       }
     }
@@ -217,6 +224,8 @@
   private Entry entry(Job j, double fetchGbPerS, long wall) {
     JobSpec s = j.spec;
     double age = j.ageS(wall);
+    // But for deadlines, times count from when the last job that it needs was done.
+    double waited = j.readyS(wall);
     double fetch = s.imageGb() / Math.max(0.01, fetchGbPerS);
     double command = ports.config.workers().reportS() / 2;
     double run = Math.max(0.5, s.estimateS());
@@ -225,41 +234,74 @@
       double latest;
       if (a.start()) {
         // The image may be there and the machine's report about to come: given up only once past.
-        latest = a.withinS() - fetch - command - age;
-        if (age >= a.withinS()) {
+        latest = a.withinS() - fetch - command - waited;
+        if (waited >= a.withinS()) {
           continue;
         }
       } else {
         if (a.withinS() <= 0 && !s.hasDeadline()) {
           continue;
         }
-        double due = a.withinS() > 0 ? a.withinS() : s.deadlineS() * a.times();
-        latest = due - age - fetch - command - run * LAST_TASK;
-        if (due - age < fetch + command + run * DOUBT) {
+        double left = a.withinS() > 0 ? a.withinS() - waited : s.deadlineS() * a.times() - age;
+        latest = left - fetch - command - run * LAST_TASK;
+        if (left < fetch + command + run * DOUBT) {
           continue;
         }
       }
       best = Math.min(best, latest);
     }
+    double weight = weight(s.jobClass());
+    for (Dependencies.Due d : dependencies.dues(j)) {
+      double left = (d.byMs() - wall) / 1000;
+      if (left >= fetch + command + run * DOUBT) {
+        best = Math.min(best, left - fetch - command - run * LAST_TASK);
+        weight = Math.max(weight, weight(d.jobClass()));
+      }
+    }
     if (j.owed) {
-      best = Math.min(best, OWED_S - age);
+      best = Math.min(best, OWED_S - waited);
     }
     if (best == Double.MAX_VALUE) {
       return null;
     }
-    double weight =
-        Math.max(1, aims.getOrDefault(s.jobClass(), List.of()).size())
-            * switch (s.priority()) {
-              case PROD -> 4;
-              case URGENT -> 2;
-              case NORMAL -> 1.4;
-              case LOW -> 1;
-            }
-            / Math.max(1, seen.getOrDefault(s.jobClass(), 1));
+    weight *=
+        switch (j.priority) {
+          case PROD -> 4;
+          case URGENT -> 2;
+          case NORMAL -> 1.4;
+          case LOW -> 1;
+        };
     double queuedWork = j.queued() * Math.max(0.1, s.cpus()) * (run + fetch);
     return new Entry(j, best, run * LAST_TASK + fetch + command, queuedWork, weight, j.owed);
   }
 
+  /** What a job of the class counts for: aims are shares of a class's jobs. */
+  private double weight(String jobClass) {
+    return (double) Math.max(1, aims.getOrDefault(jobClass, List.of()).size())
+        / Math.max(1, seen.getOrDefault(jobClass, 1));
+  }
+
+  /** The deadlines of a job's own, on the wall clock. */
+  List<Dependencies.Due> ownDues(Job j) {
+    List<Dependencies.Due> l = new ArrayList<>();
+    if (j.spec.hasDeadline()) {
+      for (Aim a : aims.getOrDefault(j.spec.jobClass(), List.of())) {
+        if (!a.start() && a.withinS() <= 0) {
+          double s = j.spec.deadlineS() * a.times();
+          l.add(new Dependencies.Due(j.acceptedAtMs + s * 1000, j.spec.jobClass()));
+        }
+      }
+    }
+    return l;
+  }
+
+  /** What a job takes from when it is ready, by its owner's estimate. */
+  double spanMs(Job j) {
+    double command = ports.config.workers().reportS() / 2;
+    double run = Math.max(0.5, j.spec.estimateS());
+    return 1000 * (j.spec.imageGb() / Math.max(0.01, fetchGbPerS) + command + run * LAST_TASK);
+  }
+
   private void learn(Job j) {
     if (known.add(j)) {
       seen.merge(j.spec.jobClass(), 1, Integer::sum);
--- a/src/main/java/shorecrank/coordination/Questions.java
+++ b/src/main/java/shorecrank/coordination/Questions.java
@@ -3,7 +3,9 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +13,7 @@
 import shorecrank.bookkeeping.JobRecord;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.StoreMessages;
+import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
 
 /**
@@ -28,6 +31,7 @@
 
   private final Ports ports;
   private final Map<JobId, Job> jobs;
+  private final Dependencies dependencies;
 
   /** Jobs that ended here: what never changes again needs no look at the store. */
   private final Cache<JobId, Standing> ended =
@@ -36,8 +40,9 @@
   private final Map<JobId, List<OnStanding>> asked = new LinkedHashMap<>();
   private boolean asking;
 
-  Questions(Ports ports, Map<JobId, Job> jobs) {
+  Questions(Ports ports, Map<JobId, Job> jobs, Dependencies dependencies) {
     this.ports = ports;
+    this.dependencies = dependencies;
     this.jobs = jobs;
   }
 
@@ -80,14 +85,33 @@
   private void compare(Map<JobId, List<OnStanding>> batch, int tries) {
     StoreMessages.Txn txn = new StoreMessages.Txn();
     Map<JobId, Standing> sent = new HashMap<>();
+    Map<JobId, Set<String>> keys = new HashMap<>();
+    Set<String> guarded = new HashSet<>();
+    int max = ports.config.state().txnOps() * 4;
     for (JobId id : new ArrayList<>(batch.keySet())) {
       Job j = jobs.get(id);
       if (j == null || j.standing == null) {
         batch.remove(id).forEach(t -> t.told(ended.getIfPresent(id)));
-      } else {
-        txn.guard(JobRecord.liveKey(id), j.stamp);
-        sent.put(id, j.standing);
+        continue;
+      }
+      // A job that waits is cancelled with any that it needs: those must be as they were, too.
+      var needed = dependencies.allNeeded(j, max / 4);
+      if (needed == null || guarded.size() + needed.size() + 1 > max) {
+        batch.remove(id).forEach(t -> t.told(null));
+        continue;
+      }
+      Set<String> mine = new HashSet<>();
+      List<Job> compared = new ArrayList<>(needed);
+      compared.add(j);
+      for (Job one : compared) {
+        String key = JobRecord.liveKey(one.id());
+        mine.add(key);
+        if (guarded.add(key)) {
+          txn.guard(key, one.stamp);
+        }
       }
+      keys.put(id, mine);
+      sent.put(id, j.aborted && j.standing.phase() != Phase.WITHDRAWN ? null : j.standing);
     }
     if (batch.isEmpty()) {
       return;
@@ -109,7 +133,7 @@
                 } else if (status == 409
                     && tries > 1
                     && !failed.isEmpty()
-                    && !failed.contains(JobRecord.liveKey(id))) {
+                    && Collections.disjoint(failed, keys.get(id))) {
                   // Whether a refusal names all that differ is not said: what it does not name
                   // is compared once more.
                   again.put(id, l);
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -57,6 +57,9 @@
 
   private static final int WATCH_PAUSE_MS = 250;
 
+  /** A record larger than the state service takes is tried again after so long. */
+  private static final int TOO_LARGE_PAUSE_MS = 2000;
+
   /** A watch is answered after so long at the latest: so fresh is what it proves at least. */
   private static final int WATCH_HOLD_MS = 2000;
 
@@ -129,6 +132,7 @@
   final Earshot earshot;
   final Renting renting;
   private final Ordering ordering;
+  private final Dependencies dependencies;
   private boolean closed;
 
   private final Questions questions;
@@ -144,8 +148,9 @@
     this.firstEpoch = epoch;
     this.earshot = new Earshot(ports, hosts.values(), grantedAt);
     this.renting = new Renting(ports, this);
-    this.ordering = new Ordering(ports);
-    this.questions = new Questions(ports, jobs);
+    this.dependencies = new Dependencies(ports, jobs, cancellations, this::cancelWithOthers);
+    this.ordering = new Ordering(ports, dependencies);
+    this.questions = new Questions(ports, jobs, dependencies);
     ports.info("part %s: taken over at epoch %s", part, epoch);
     ports.count("part.takeover");
   }
@@ -234,6 +239,9 @@
    */
   void learnCancelled(JobId id) {
     Job j = jobs.get(id);
+    if (j == null) {
+      dependencies.cancelled(id);
+    }
     if (j == null || j.aborted) {
       return;
     }
@@ -243,6 +251,12 @@
     }
   }
 
+  /** A job that it needs is cancelled, so it is too; none of its tasks has ever been placed. */
+  private void cancelWithOthers(Job j) {
+    abort(j);
+    j.touch(Urgency.NOW, ports.now());
+  }
+
   void end(String why) {
     closed = true;
     answerParked(true);
@@ -279,6 +293,7 @@
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
       }
+      dependencies.tick();
       if (valid()) {
         kicked = false;
         place(budget);
@@ -297,6 +312,7 @@
       forget(j);
     }
     latched.clear();
+    dependencies.clear();
     for (Host h : hosts.values()) {
       unpark(h);
       h.known = false;
@@ -383,7 +399,10 @@
     }
     adoptLive(j, r);
     if (j.aborted) {
+      dependencies.cancelled(j.id());
       j.touch(Urgency.NOW, ports.now());
+    } else {
+      dependencies.add(j);
     }
     return j;
   }
@@ -426,6 +445,7 @@
     }
     jobs.remove(j.id());
     ordering.forget(j);
+    dependencies.forget(j);
   }
 
   private void watch() {
@@ -464,6 +484,9 @@
   private void changed(JobId id, StoreMessages.Change c) {
     if (JobRecord.isMarked(c.value())) {
       cancellations.learn(id);
+      dependencies.cancelled(id);
+    } else if (c.value() == null) {
+      dependencies.dropped(id);
     }
     if (latched.contains(id)) {
       return;
@@ -535,7 +558,8 @@
       while (at < due.size()) {
         Job j = due.get(at);
         int ops = ops(j);
-        if (txn.ops() + ops > ports.config.state().txnOps()
+        if (((j.alone || (!batch.isEmpty() && batch.get(0).job.alone)) && !batch.isEmpty())
+            || txn.ops() + ops > ports.config.state().txnOps()
             || (bytes > 0 && bytes + ports.config.state().valueKb() * 1024 > TXN_BYTES)
             || !budget(j).has(ops, now)) {
           break;
@@ -598,12 +622,7 @@
       bytes = Json.bytes(value).length;
       double max = ports.config.state().valueKb() * 1024;
       if (bytes > max * 0.95) {
-        // What was not yet written is taken back: no command has been given for it.
-        for (LiveTask t : new ArrayList<>(j.live.values())) {
-          if (!t.committed() && t.seq >= j.seq) {
-            detach(t);
-          }
-        }
+        shrink(j);
         record = j.record(epoch, ports.writer);
         value = record.write();
         bytes = Json.bytes(value).length;
@@ -618,6 +637,16 @@
     return bytes + 300;
   }
 
+  /** What was not yet written is taken back: no command has been given for it. */
+  private void shrink(Job j) {
+    for (LiveTask t : new ArrayList<>(j.live.values())) {
+      if (!t.committed() && t.seq >= j.seq) {
+        detach(t);
+      }
+    }
+    j.rangesLeft = 0;
+  }
+
   private void commit(StoreMessages.Txn txn, List<Write> batch) {
     inFlight++;
     ports.state(
@@ -650,8 +679,17 @@
             }
           }
           if (status == 400) {
-            ports.error("transaction refused as malformed: %s", body);
-            batch.forEach(w -> w.job.writeAfter = now.plus(5000));
+            // One of them is larger than the service takes now. Alone, each shows which; that one
+            // shrinks as its tasks end, and is placed no further.
+            ports.error("transaction of %d refused as too large: %s", batch.size(), body);
+            ports.count("txn.too_large");
+            for (Write w : batch) {
+              w.job.alone = true;
+              if (batch.size() == 1) {
+                shrink(w.job);
+                w.job.writeAfter = now.plus(TOO_LARGE_PAUSE_MS);
+              }
+            }
           } else if (status != 200 && status != 409) {
             ports.count("txn.unanswered");
             writeRetryAt = now.plus(80 + ports.random().nextInt(200));
@@ -731,9 +769,11 @@
     j.writer = ports.writer;
     j.standing = w.standing;
     j.claimed = true;
+    j.alone = false;
     if (w.last) {
       questions.ended(j.id(), w.standing);
       forget(j);
+      dependencies.ended(j.id(), w.standing.phase());
       ports.info("job %s %s at epoch %s", j.id(), j.aborted ? "withdrawn" : "done", epoch);
       ports.count(j.aborted ? "job.withdrawn" : "job.done");
       return;
@@ -798,6 +838,8 @@
           }
           if (status == 200) {
             forget(j);
+            dependencies.ended(
+                j.id(), JobRecord.Final.read(StoreMessages.entry(body).value()).phase());
             ports.info("job %s: over, as its final record has it", j.id());
           } else if (status == 404) {
             latch(j, null);
@@ -862,6 +904,7 @@
       }
     }
     ports.info("job %s: cancelled", j.id());
+    dependencies.cancelled(j.id());
   }
 
   /** From the first refusal on nothing more is written or commanded for the job. */
@@ -1428,6 +1471,7 @@
       busy += j.live.size() * j.spec.cpus() * j.spec.estimateS() / 2;
     }
     ordering.owe(jobs.values());
+    dependencies.refresh(ordering::ownDues, ordering::spanMs);
     return ordering.sort(
         waiting, fetch / Math.max(1, cpus), cpus, soon, soonS / Math.max(1, soon), busy);
   }
@@ -1672,10 +1716,10 @@
       return false;
     }
     if (!ordering.hasAims(j.spec)) {
-      return j.spec.priority().compareTo(JobSpec.Priority.URGENT) <= 0;
+      return j.priority.compareTo(JobSpec.Priority.URGENT) <= 0;
     }
     double aim = Double.MAX_VALUE;
-    double age = j.ageS(ports.wallMs());
+    double age = j.readyS(ports.wallMs());
     for (NodeConfig.Objective o : ports.config.objectives()) {
       if (o.kind().equals("wait") && o.jobClass().equals(j.spec.jobClass()) && o.withinS() > age) {
         aim = Math.min(aim, o.withinS());
@@ -1764,7 +1808,7 @@
           && t.job.claimed
           && t.state != TaskState.FLUSHING
           && t.job.spec.checkpointS() <= 0
-          && t.job.spec.priority().compareTo(j.spec.priority()) > 0) {
+          && t.job.priority.compareTo(j.priority) > 0) {
         can.add(t);
       }
     }
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -2,9 +2,12 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayDeque;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import shorecrank.bookkeeping.JobRecord;
 import shorecrank.bookkeeping.JobRecord.Final;
@@ -39,6 +42,10 @@
   private final Cache<JobId, PartId> partOf =
       Caffeine.newBuilder().maximumSize(5000).executor(Runnable::run).build();
 
+  /** Jobs known to have been accepted: that never changes. */
+  private final Cache<JobId, Boolean> accepted =
+      Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build();
+
   private final Cancellations cancellations;
   private final Owners owners;
   private final Relay relay;
@@ -115,11 +122,37 @@
       unavailable(ask);
       return;
     }
-    if (!ports.userWrites.tryTake(1, ports.now())) {
-      later(ask, "state changes are used up");
+    List<JobId> doubtful =
+        spec.prerequisites().stream().filter(id -> accepted.getIfPresent(id) == null).toList();
+    if (!ports.requests.has(doubtful.size(), ports.now())) {
+      later(ask, "state requests are used up");
+      return;
+    }
+    prerequisitesKnown(ask, spec, new ArrayDeque<>(doubtful));
+  }
+
+  /** Only jobs that were accepted may be named. A known job keeps its answer all the same. */
+  private void prerequisitesKnown(Ask ask, JobSpec spec, ArrayDeque<JobId> doubtful) {
+    JobId id = doubtful.poll();
+    if (id == null) {
+      if (ports.userWrites.tryTake(1, ports.now())) {
+        create(ask, spec, 2);
+      } else {
+        later(ask, "state changes are used up");
+      }
       return;
     }
-    create(ask, spec, 2);
+    lookUp(
+        id,
+        found -> prerequisitesKnown(ask, spec, doubtful),
+        () ->
+            lookUp(
+                spec.id(),
+                found -> answerKnown(ask, spec.id(), found),
+                () ->
+                    ports.reply(ask.reply(), 422, Json.error("needs a job never accepted: " + id)),
+                () -> unavailable(ask)),
+        () -> unavailable(ask));
   }
 
   private String never(JobSpec s) {
@@ -153,6 +186,7 @@
         CALL_MS,
         (status, body) -> {
           if (status == 200) {
+            accepted.put(spec.id(), true);
             ports.count("job.accepted");
             ports.reply(ask.reply(), 201, UserMessages.phase(spec.id(), Phase.QUEUED));
           } else if (status == 409) {
@@ -181,6 +215,14 @@
       }
     }
 
+    /** Its record is as it was, but a job that it needs is cancelled, and so is this one. */
+    record CancelledWithOthers(JobRecord record) implements Found {
+      @Override
+      public Standing standing() {
+        return new Standing(Phase.WITHDRAWN, 0, 0);
+      }
+    }
+
     record Over(Final end) implements Found {
       @Override
       public Standing standing() {
@@ -193,6 +235,8 @@
   private void told(Found f) {
     if (f instanceof Found.Unfinished u && u.record.aborted()) {
       cancellations.confirmed(u.record.spec().id());
+    } else if (f instanceof Found.CancelledWithOthers c) {
+      cancellations.confirmed(c.record.spec().id());
     }
   }
 
@@ -206,6 +250,64 @@
    * final records, in one transaction, so one found in neither was not known when asked for.
    */
   private void lookUp(JobId id, Consumer<Found> found, Runnable absent, Runnable unknown) {
+    lookUpRecord(
+        id,
+        f -> {
+          accepted.put(id, true);
+          if (f instanceof Found.Unfinished u && mayWait(u.record)) {
+            ArrayDeque<JobId> needed = new ArrayDeque<>(u.record.spec().prerequisites());
+            withOthers(u, needed, new HashSet<>(needed), found, unknown);
+          } else {
+            found.accept(f);
+          }
+        },
+        absent,
+        unknown);
+  }
+
+  /** Nothing of it was ever placed, so what it needs may not be done. */
+  private static boolean mayWait(JobRecord r) {
+    return !r.aborted() && r.tries() == 0 && !r.spec().prerequisites().isEmpty();
+  }
+
+  /**
+   * A job that waits is cancelled with any that it needs, directly or through others, whether or
+   * not its owner has written that yet.
+   */
+  private void withOthers(
+      Found.Unfinished waiting,
+      ArrayDeque<JobId> open,
+      Set<JobId> seen,
+      Consumer<Found> found,
+      Runnable unknown) {
+    JobId id = open.poll();
+    if (id == null) {
+      found.accept(waiting);
+      return;
+    }
+    if (cancellations.known(id)) {
+      found.accept(new Found.CancelledWithOthers(waiting.record));
+      return;
+    }
+    Runnable next = () -> withOthers(waiting, open, seen, found, unknown);
+    lookUpRecord(
+        id,
+        f -> {
+          if (f.standing().phase() == Phase.WITHDRAWN) {
+            cancellations.learn(id);
+            found.accept(new Found.CancelledWithOthers(waiting.record));
+            return;
+          }
+          if (f instanceof Found.Unfinished u && mayWait(u.record)) {
+            u.record.spec().prerequisites().stream().filter(seen::add).forEach(open::add);
+          }
+          next.run();
+        },
+        next,
+        unknown);
+  }
+
+  private void lookUpRecord(JobId id, Consumer<Found> found, Runnable absent, Runnable unknown) {
     Final f = finals.getIfPresent(id);
     if (f != null) {
       found.accept(new Found.Over(f));
--- a/src/main/java/shorecrank/protocol/JobSpec.java
+++ b/src/main/java/shorecrank/protocol/JobSpec.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 import shorecrank.protocol.Ids.JobId;
 
@@ -28,7 +30,8 @@
     double estimateS,
     double checkpointS,
     double saveS,
-    double deadlineS) {
+    double deadlineS,
+    List<JobId> prerequisites) {
 
   /** From first to last. */
   public enum Priority {
@@ -53,6 +56,10 @@
     }
   }
 
+  /** The field with the jobs that have to be done first. */
+  private static final String PREREQUISITES = "prereqs";
+
+  public static final int MAX_PREREQUISITES = 2000;
   public static final int MAX_TASKS = 100_000;
   private static final Pattern ID = Pattern.compile("wk-[0-9]{1,40}");
   private static final double MAX_AMOUNT = 1e12;
@@ -137,7 +144,30 @@
         amount(n, "guessS"),
         amount(n, "snapshotEveryS"),
         amount(n, "snapshotS"),
-        due);
+        due,
+        prerequisites(n.path(PREREQUISITES)));
+  }
+
+  private static List<JobId> prerequisites(JsonNode n) throws Malformed {
+    if (n.isNull() || n.isMissingNode()) {
+      return List.of();
+    }
+    Set<JobId> ids = new LinkedHashSet<>();
+    for (JsonNode id : n) {
+      if (!id.isTextual() || !idOk(id.textValue()) || ids.size() >= MAX_PREREQUISITES) {
+        throw malformedPrerequisites();
+      }
+      ids.add(new JobId(id.textValue()));
+    }
+    if (!n.isArray()) {
+      throw malformedPrerequisites();
+    }
+    return List.copyOf(ids);
+  }
+
+  private static Malformed malformedPrerequisites() {
+    return new Malformed(
+        PREREQUISITES + " must be a list of at most " + MAX_PREREQUISITES + " job ids");
   }
 
   public ObjectNode write() {
@@ -158,6 +188,10 @@
     if (deadlineS > 0) {
       n.put("dueS", deadlineS);
     }
+    if (!prerequisites.isEmpty()) {
+      ArrayNode a = n.putArray(PREREQUISITES);
+      prerequisites.forEach(id -> a.add(id.value()));
+    }
     return n;
   }
 
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -127,6 +127,8 @@
           w.stateWrites = number(o, "writes", w.stateWrites);
           w.store.txnOps = (int) number(o, "ops", w.store.txnOps);
           w.store.valueKb = (int) number(o, "value", w.store.valueKb);
+          w.nextValueKb = number(o, "next-value", 0);
+          w.nextTxnOps = (int) number(o, "next-ops", w.store.txnOps);
         }
         case "type" -> {
           Map<String, String> o = options(a, 2);
@@ -238,6 +240,7 @@
     p.together = o.containsKey("together");
     p.spread = o.containsKey("spread");
     p.faulty = o.containsKey("faulty");
+    p.needs = o.containsKey("needs") ? List.of(o.get("needs").split(",")) : List.of();
     return p;
   }
 
@@ -309,6 +312,7 @@
       case "copies-for-next" -> w.copiesForNext(ms(a[1]));
       case "late-writes" ->
           w.lateWrites(Double.parseDouble(a[1]), ms(a[2]), a.length > 3 && a[3].equals("at-once"));
+      case "lower-limits" -> w.lowerLimits();
       case "slow" -> w.slow(Double.parseDouble(a[1]), ms(a[2]));
       case "cancel-now" -> w.cancelNow(Integer.parseInt(a[1]), a.length > 2 ? ms(a[2]) : 0);
       case "cancel-each" -> {
@@ -373,6 +377,7 @@
           case "epoch" -> w.store.peek("epoch").path("v").asLong() >= Long.parseLong(a[2]);
           case "epoch-below" -> w.store.peek("epoch").path("v").asLong() < Long.parseLong(a[2]);
           case "kills-below" -> w.leaseKills < Integer.parseInt(a[2]);
+          case "begun-before" -> w.checker.begunBefore(a[2], a[3]);
           case "machines-below" -> w.cloud.size() < Integer.parseInt(a[2]);
           case "machines-above" -> w.cloud.size() > Integer.parseInt(a[2]);
           case "gone" -> w.cloud.releasedEver.contains(a[2]);
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -49,6 +49,7 @@
     boolean faulty;
     String urgency = "normal";
     double due;
+    List<String> needs = List.of();
   }
 
   /** What a cut does to messages. */
@@ -250,6 +251,11 @@
   double listLagS = 3;
   double stateRps = 100;
   double stateWrites = 50;
+
+  /** The limits that the state service will have, if they are announced. */
+  double nextValueKb;
+
+  int nextTxnOps;
   int leaseKills;
   int refusedFull;
 
@@ -303,6 +309,12 @@
         .put("write_rps", stateWrites)
         .put("txn_ops", store.txnOps)
         .put("value_kb", store.valueKb);
+    if (nextValueKb > 0) {
+      s.withObject("/state")
+          .putObject("next")
+          .put("value_kb", nextValueKb)
+          .put("txn_ops", nextTxnOps);
+    }
     s.putObject("cloud").put("rps", 4.0).put("list_lag_s", listLagS);
     try {
       return NodeConfig.read(Json.bytes(c));
@@ -605,9 +617,32 @@
     } else {
       n.putNull("dueS");
     }
+    if (!p.needs.isEmpty()) {
+      var a = n.putArray("prereqs");
+      p.needs.forEach(a::add);
+    }
     return n;
   }
 
+  /** Lower limits, without notice. */
+  void lowerLimits() {
+    store.valueKb = (int) nextValueKb;
+    store.txnOps = nextTxnOps;
+  }
+
+  /** The job itself and all that it needs, directly or through others. */
+  Set<String> withNeeds(String job) {
+    Set<String> all = new HashSet<>();
+    List<String> open = new ArrayList<>(List.of(job));
+    while (!open.isEmpty()) {
+      String one = open.remove(open.size() - 1);
+      if (all.add(one) && plans.containsKey(one)) {
+        open.addAll(plans.get(one).needs);
+      }
+    }
+    return all;
+  }
+
   private void userCall(
       String what,
       String id,
