--- a/src/main/java/shorecrank/bookkeeping/JobRecord.java
+++ b/src/main/java/shorecrank/bookkeeping/JobRecord.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.BitSet;
 import java.util.List;
 import java.util.function.IntFunction;
@@ -41,6 +43,9 @@
   /** With more live ranges than this a record is packed, to fit the value the store takes. */
   private static final int PACK_ABOVE = 24;
 
+  /** Where the compact form has the spec, behind the columns of ranges. */
+  private static final int SPEC_COLUMN = 6;
+
   public static final String LIVE = "j/";
   public static final String FINAL = "f/";
 
@@ -71,19 +76,10 @@
     return new Standing(phase(), done.cardinality(), aborted ? 0 : running());
   }
 
+  /** In the form that every version reads. */
   public ObjectNode write() {
-    ObjectNode n = Json.object();
-    n.put("e", epoch.value()).put("w", writer.value()).put("q", seq).put("t", tries);
-    n.put("at", acceptedAtMs);
-    if (aborted) {
-      n.put("x", true);
-    }
-    ArrayNode d = Json.array();
-    for (int i = done.nextSetBit(0); i >= 0; ) {
-      int end = done.nextClearBit(i);
-      d.add(i).add(end - i);
-      i = done.nextSetBit(end);
-    }
+    ObjectNode n = head();
+    ArrayNode d = doneRuns();
     if (live.size() > PACK_ABOVE || d.size() > 4 * PACK_ABOVE) {
       n.put("z", Packed.pack(columns(d)));
     } else {
@@ -102,6 +98,41 @@
     return n;
   }
 
+  private ObjectNode head() {
+    ObjectNode n = Json.object();
+    n.put("e", epoch.value()).put("w", writer.value()).put("q", seq).put("t", tries);
+    n.put("at", acceptedAtMs);
+    if (aborted) {
+      n.put("x", true);
+    }
+    return n;
+  }
+
+  private ArrayNode doneRuns() {
+    ArrayNode d = Json.array();
+    for (int i = done.nextSetBit(0); i >= 0; ) {
+      int end = done.nextClearBit(i);
+      d.add(i).add(end - i);
+      i = done.nextSetBit(end);
+    }
+    return d;
+  }
+
+  /**
+   * The shortest form, for where the store takes no more. Versions before pipelines don't read it,
+   * so it is written only once the store has refused the other for its size.
+   */
+  public ObjectNode writeCompact() {
+    ArrayNode columns = columns(doneRuns());
+    // Tasks that end out of order leave many short runs; then a bit for each is less.
+    String bits = Base64.getEncoder().withoutPadding().encodeToString(done.toByteArray());
+    if (bits.length() < Json.bytes(columns.get(0)).length) {
+      columns.set(0, TextNode.valueOf(bits));
+    }
+    columns.add(spec.write());
+    return head().put("y", Packed.pack(columns));
+  }
+
   /** Ranges by column, their firsts as gaps: what is alike stands together and packs well. */
   private ArrayNode columns(ArrayNode doneRuns) {
     ArrayNode columns = Json.array();
@@ -135,19 +166,29 @@
 
   /** Null if it is not such a record. */
   public static JobRecord read(JsonNode n) {
+    JsonNode packed = n.path(n.has("y") ? "y" : "z");
+    JsonNode columns = packed.isTextual() ? Packed.unpack(packed.textValue()) : null;
+    if (columns != null && columns.isMissingNode()) {
+      return null;
+    }
     JobSpec spec;
     try {
-      spec = JobSpec.read(n.path("s"));
+      spec = JobSpec.read(n.has("y") && columns != null ? columns.path(SPEC_COLUMN) : n.path("s"));
     } catch (JobSpec.Malformed e) {
       return null;
     }
     BitSet done = new BitSet();
-    JsonNode packed = n.path("z");
-    JsonNode columns = packed.isTextual() ? Packed.unpack(packed.textValue()) : null;
-    if (columns != null && columns.isMissingNode()) {
-      return null;
-    }
     JsonNode d = columns == null ? n.path("d") : columns.path(0);
+    if (d.isTextual()) {
+      try {
+        done.or(BitSet.valueOf(Base64.getDecoder().decode(d.textValue())));
+      } catch (IllegalArgumentException e) {
+        return null;
+      }
+      if (done.length() > spec.tasks()) {
+        return null;
+      }
+    }
     for (int i = 0; i + 1 < d.size(); i += 2) {
       int first = d.get(i).asInt();
       int many = d.get(i + 1).asInt();
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -120,6 +120,9 @@
   /** A transaction with it was too large; it goes alone until it is through. */
   boolean alone;
 
+  /** The state service has refused it for its size; it is written in the shortest form. */
+  boolean compact;
+
   boolean inFlight;
   boolean rereading;
   Urgency dirty = Urgency.NONE;
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -618,13 +618,13 @@
       standing = new Standing(phase, j.doneCount(), 0);
     } else {
       JobRecord record = j.record(epoch, ports.writer);
-      ObjectNode value = record.write();
+      ObjectNode value = j.compact ? record.writeCompact() : record.write();
       bytes = Json.bytes(value).length;
       double max = ports.config.state().valueKb() * 1024;
       if (bytes > max * 0.95) {
         shrink(j);
         record = j.record(epoch, ports.writer);
-        value = record.write();
+        value = j.compact ? record.writeCompact() : record.write();
         bytes = Json.bytes(value).length;
       }
       standing = record.standing();
@@ -680,14 +680,17 @@
           }
           if (status == 400) {
             // One of them is larger than the service takes now. Alone, each shows which; that one
-            // shrinks as its tasks end, and is placed no further.
-            ports.error("transaction of %d refused as too large: %s", batch.size(), body);
+            // is written in its shortest form, and if that is too long, shrinks as its tasks end.
+            ports.info("transaction of %d refused as too large: %s", batch.size(), body);
             ports.count("txn.too_large");
             for (Write w : batch) {
               w.job.alone = true;
               if (batch.size() == 1) {
+                if (w.job.compact) {
+                  w.job.writeAfter = now.plus(TOO_LARGE_PAUSE_MS);
+                }
+                w.job.compact = true;
                 shrink(w.job);
-                w.job.writeAfter = now.plus(TOO_LARGE_PAUSE_MS);
               }
             }
           } else if (status != 200 && status != 409) {
