--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -293,8 +293,8 @@
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
       }
-      dependencies.tick();
       if (valid()) {
+        dependencies.tick();
         kicked = false;
         place(budget);
         flush();
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -42,10 +42,6 @@
   private final Cache<JobId, PartId> partOf =
       Caffeine.newBuilder().maximumSize(5000).executor(Runnable::run).build();
 
-  /** Jobs known to have been accepted: that never changes. */
-  private final Cache<JobId, Boolean> accepted =
-      Caffeine.newBuilder().maximumSize(10_000).executor(Runnable::run).build();
-
   private final Cancellations cancellations;
   private final Owners owners;
   private final Relay relay;
@@ -122,21 +118,24 @@
       unavailable(ask);
       return;
     }
-    List<JobId> doubtful =
-        spec.prerequisites().stream().filter(id -> accepted.getIfPresent(id) == null).toList();
-    if (!ports.requests.has(doubtful.size(), ports.now())) {
+    if (!ports.requests.has(spec.prerequisites().size(), ports.now())) {
       later(ask, "state requests are used up");
       return;
     }
-    prerequisitesKnown(ask, spec, new ArrayDeque<>(doubtful));
+    prerequisites(ask, spec, new ArrayDeque<>(spec.prerequisites()), Phase.QUEUED);
   }
 
-  /** Only jobs that were accepted may be named. A known job keeps its answer all the same. */
-  private void prerequisitesKnown(Ask ask, JobSpec spec, ArrayDeque<JobId> doubtful) {
-    JobId id = doubtful.poll();
+  /**
+   * Only jobs that were accepted may be named; a known job keeps its answer all the same. One that
+   * names a cancelled job is accepted, and is cancelled.
+   *
+   * @param phase what it is as far as the prerequisites looked up tell
+   */
+  private void prerequisites(Ask ask, JobSpec spec, ArrayDeque<JobId> left, Phase phase) {
+    JobId id = left.poll();
     if (id == null) {
       if (ports.userWrites.tryTake(1, ports.now())) {
-        create(ask, spec, 2);
+        create(ask, spec, phase, 2);
       } else {
         later(ask, "state changes are used up");
       }
@@ -144,7 +143,12 @@
     }
     lookUp(
         id,
-        found -> prerequisitesKnown(ask, spec, doubtful),
+        found ->
+            prerequisites(
+                ask,
+                spec,
+                left,
+                found.standing().phase() == Phase.WITHDRAWN ? Phase.WITHDRAWN : phase),
         () ->
             lookUp(
                 spec.id(),
@@ -170,7 +174,7 @@
     return null;
   }
 
-  private void create(Ask ask, JobSpec spec, int tries) {
+  private void create(Ask ask, JobSpec spec, Phase phase, int tries) {
     JobRecord r =
         new JobRecord(
             spec, Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, ports.wallMs());
@@ -186,9 +190,11 @@
         CALL_MS,
         (status, body) -> {
           if (status == 200) {
-            accepted.put(spec.id(), true);
             ports.count("job.accepted");
-            ports.reply(ask.reply(), 201, UserMessages.phase(spec.id(), Phase.QUEUED));
+            if (phase == Phase.WITHDRAWN) {
+              cancellations.confirmed(spec.id());
+            }
+            ports.reply(ask.reply(), 201, UserMessages.phase(spec.id(), phase));
           } else if (status == 409) {
             lookUp(
                 spec.id(),
@@ -197,7 +203,7 @@
                 () -> unavailable(ask));
           } else if (status == 0 && tries > 1) {
             // It may have been accepted, or be yet: the same guard settles that.
-            create(ask, spec, tries - 1);
+            create(ask, spec, phase, tries - 1);
           } else {
             unavailable(ask);
           }
@@ -253,7 +259,6 @@
     lookUpRecord(
         id,
         f -> {
-          accepted.put(id, true);
           if (f instanceof Found.Unfinished u && mayWait(u.record)) {
             ArrayDeque<JobId> needed = new ArrayDeque<>(u.record.spec().prerequisites());
             withOthers(u, needed, new HashSet<>(needed), found, unknown);
