--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -377,6 +377,9 @@
           case "epoch" -> w.store.peek("epoch").path("v").asLong() >= Long.parseLong(a[2]);
           case "epoch-below" -> w.store.peek("epoch").path("v").asLong() < Long.parseLong(a[2]);
           case "kills-below" -> w.leaseKills < Integer.parseInt(a[2]);
+          case "final" ->
+              Arrays.stream(a[2].split(","))
+                  .allMatch(j -> w.store.peek("f/" + j).path("p").asText().equals(a[3]));
           case "begun-before" -> w.checker.begunBefore(a[2], a[3]);
           case "machines-below" -> w.cloud.size() < Integer.parseInt(a[2]);
           case "machines-above" -> w.cloud.size() > Integer.parseInt(a[2]);
