--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -109,6 +109,12 @@
     ports.begin(now, wallMs, entropy);
     if (startedAt == Mono.NEVER) {
       startedAt = now;
+      if (!ports.cancelsInTime()) {
+        ports.error(
+            "settings.workers: cancel_s %.1f leaves too little over lease_s %.1f: without the state"
+                + " service cancelled tasks may outlast it",
+            ports.config.workers().cancelS(), ports.config.workers().leaseS());
+      }
     }
     if (in instanceof Input.Request r) {
       request(r);
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -72,10 +72,22 @@
    * what it missed ends with the lease, and no later than {@code cancel_s} after the confirmation.
    */
   long evidenceMs() {
+    return Math.max(leastEvidenceMs(), safeEvidenceMs());
+  }
+
+  private long safeEvidenceMs() {
     double spare = (config.workers().cancelS() - config.workers().leaseS()) * 1000;
-    // Where the platform leaves less than this nobody could renew a lease at all.
-    double least = 2000 * config.workers().reportS() + 1000;
-    return (long) Math.max(least, spare * (1 - EVIDENCE_DRIFT) - EVIDENCE_MARGIN_MS);
+    return (long) (spare * (1 - EVIDENCE_DRIFT) - EVIDENCE_MARGIN_MS);
+  }
+
+  /** Where the platform leaves less than this, nobody could renew a lease at all. */
+  private long leastEvidenceMs() {
+    return (long) (2000 * config.workers().reportS() + 1000);
+  }
+
+  /** Whether the platform leaves enough time between the lease and the end of cancelled tasks. */
+  boolean cancelsInTime() {
+    return safeEvidenceMs() >= leastEvidenceMs();
   }
 
   void begin(Mono now, long wallMs, long entropy) {
--- a/src/test/java/shorecrank/config/SettingsTest.java
+++ b/src/test/java/shorecrank/config/SettingsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
@@ -31,4 +32,38 @@
     NodeConfig.Invalid e = assertThrows(NodeConfig.Invalid.class, () -> TuningFile.read(text));
     assertTrue(e.getMessage().contains(part) || text.startsWith("parts: many"), e.getMessage());
   }
+
+  private static NodeConfig platform(String state) throws Exception {
+    String file =
+        "{'label':'n','public_addr':'1.2.3.4:80','peer_bind':'1.2.3.4:81',"
+            + "'endpoints':{'cloud':'1.2.3.5:1','state':'1.2.3.6:1'},'settings':{'state':"
+            + state
+            + "}}";
+    return NodeConfig.read(file.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Lower limits come without notice, so both hold from the start; what is not named stays. */
+  @Test
+  void theLowerOfBothLimitsHolds() throws Exception {
+    NodeConfig.State s =
+        platform(
+                "{'rps':70,'write_rps':25,'value_kb':16,'txn_ops':16,'next':{'value_kb':2,'txn_ops':50}}")
+            .state();
+    assertEquals(new NodeConfig.State(70, 25, 2, 16), s);
+    assertEquals(16, platform("{'value_kb':16,'next':null}").state().valueKb());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      quoteCharacter = '~',
+      value = {
+        "{'next':3}, settings.state.next must be an object",
+        "{'next':{'value_kb':0}}, settings.state.next.value_kb must be a number from 1",
+        "{'next':{'txn_ops':'many'}}, settings.state.next.txn_ops must be a number from 4"
+      })
+  void badLowerLimitsNameTheField(String state, String message) {
+    NodeConfig.Invalid e =
+        assertThrows(NodeConfig.Invalid.class, () -> platform(state.replace("''", "'")));
+    assertTrue(e.getMessage().startsWith(message), e.getMessage());
+  }
 }
