An owner not renewed goes on renewing workers until a successor is named; outages move no shard

Now such an owner commands and writes no more, and renews workers' leases as in the grace, on the same evidence, until it hears of a successor (also from any other controller it asks for cancellations). The grace counts from that moment, so the verdict 'lease surely out' holds as it is, for old and new successors. Found with it: - a leader whose term goes on after an outage counted leases as lapsed that it could not grant, and owners that notice the end later as without state service: it waits three heartbeats; - an owner whose leader has ended took itself for alone though it heard another controller, and stopped renewing after two leases; and at the end of an outage at once, before a leader could be there; - an assignment without an answer could be carried out after the last owner had been granted the shard again: two owners with leases. The last owner gets none until the doubt is settled.

--- a/src/main/java/shorecrank/coordination/Cancellations.java
+++ b/src/main/java/shorecrank/coordination/Cancellations.java
@@ -1,9 +1,9 @@
 package shorecrank.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +14,7 @@
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.PeerMessages;
 import shorecrank.protocol.PeerMessages.Confirmed;
+import shorecrank.protocol.PeerMessages.OwnerInfo;
 
 /**
  * Which cancellations users have been told of, and up to what moment all of them are known here.
@@ -53,6 +54,7 @@
   private final Ports ports;
   private final Map<NodeLabel, Member> members = new LinkedHashMap<>();
   private final Consumer<JobId> learned;
+  private final Consumer<OwnerInfo> ownerSeen;
 
   /** What this controller has confirmed itself, and when first. */
   private final Map<JobId, Mono> own = new LinkedHashMap<>();
@@ -64,9 +66,14 @@
   private final Cache<JobId, Boolean> known =
       Caffeine.newBuilder().maximumSize(MAX_KEPT).executor(Runnable::run).build();
 
-  Cancellations(Ports ports, Consumer<JobId> learned) {
+  /**
+   * @param learned takes each job that another controller reports as cancelled
+   * @param ownerSeen takes the owners that another controller knows of
+   */
+  Cancellations(Ports ports, Consumer<JobId> learned, Consumer<OwnerInfo> ownerSeen) {
     this.ports = ports;
     this.learned = learned;
+    this.ownerSeen = ownerSeen;
     for (NodeConfig.Member m : ports.config.members()) {
       members.put(m.label(), new Member());
     }
@@ -156,6 +163,7 @@
             return;
           }
           c.ids().forEach(this::told);
+          c.owners().forEach(ownerSeen);
           // What it says holds up to some moment after the question, and back from the answer at
           // the most.
           Mono from = ports.now().plus(-(long) (c.spanMs() * (1 - DRIFT)) + 20);
@@ -184,8 +192,11 @@
     }
   }
 
-  /** What was confirmed here in so many milliseconds, for another controller. */
-  JsonNode answer(long within) {
+  /**
+   * What was confirmed here in so many milliseconds, for another controller. It asks because it
+   * does not reach the state service, so it is also told who owns what.
+   */
+  Confirmed answer(long within, Collection<OwnerInfo> owners) {
     Mono now = ports.now();
     long span = Math.min(within, ownFrom == Mono.NEVER ? 0 : now.since(ownFrom));
     List<JobId> ids = new ArrayList<>();
@@ -197,6 +208,6 @@
       }
       ids.add(all.get(i).getKey());
     }
-    return PeerMessages.write(new Confirmed(span, ids));
+    return new Confirmed(span, ids, List.copyOf(owners));
   }
 }
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -81,7 +81,6 @@
   private boolean ownersBusy;
   private Mono ownersAt = new Mono(0);
   private boolean beating;
-  private Mono peerHeardAt = Mono.NEVER;
   private boolean othersStateOk;
   private Mono othersAt = Mono.NEVER;
   private Map<String, HostType> catalog = Map.of();
@@ -94,7 +93,7 @@
     this.ports = new Ports(config, tuning, writer);
     this.election = new Election(ports);
     this.leader = new Leader(ports, election);
-    this.cancellations = new Cancellations(ports, this::learnCancelled);
+    this.cancellations = new Cancellations(ports, this::learnCancelled, this::owner);
     this.desk = new UserDesk(ports, cancellations, this::askOwner, this::relay);
   }
 
@@ -254,7 +253,7 @@
   private void health(Input.Request r) {
     Mono now = ports.now();
     boolean othersServe = othersStateOk && now.since(othersAt) < 4000;
-    boolean alone = !ports.config.members().isEmpty() && now.since(peerHeardAt) > 6000;
+    boolean alone = !ports.config.members().isEmpty() && ports.aloneMs() > 6000;
     // In an outage of the state service no controller is better than another, and all stay healthy.
     boolean ok =
         !catalog.isEmpty()
@@ -287,7 +286,7 @@
       malformed(r, "question");
       return;
     }
-    ports.reply(r.reply(), 200, cancellations.answer(within));
+    ports.reply(r.reply(), 200, PeerMessages.write(cancellations.answer(within, owners.values())));
   }
 
   private void malformed(Input.Request r, String what) {
@@ -392,7 +391,7 @@
       malformed(r, "beat");
       return;
     }
-    peerHeardAt = ports.now();
+    ports.peerHeard();
     if (b.stateOk()) {
       othersStateOk = true;
       othersAt = ports.now();
@@ -458,7 +457,7 @@
     PartId part = known.part();
     Steward s = stewards.get(part);
     if (s != null) {
-      boolean alone = ports.now().since(peerHeardAt) > 4000;
+      boolean alone = ports.aloneMs() > 4000;
       if (s.valid() || s.inGrace(alone)) {
         if (s.informed()) {
           s.report(reply, w, s.valid());
@@ -493,7 +492,7 @@
     int renew = ports.tuning.renewMs();
     beatAt = now.plus(renew - renew / 10 + ports.random().nextInt(renew / 5 + 1));
     List<PartBeat> parts = new ArrayList<>();
-    stewards.values().forEach(s -> parts.add(s.beat()));
+    stewards.values().stream().filter(s -> !s.relinquished()).forEach(s -> parts.add(s.beat()));
     refused.forEach((part, epoch) -> parts.add(PartBeat.refused(part, epoch)));
     Beat b =
         new Beat(
@@ -523,9 +522,6 @@
         Math.max(500, renew * 2),
         (status, body) -> {
           beating = false;
-          if (status != 0) {
-            peerHeardAt = ports.now();
-          }
           BeatAnswer a = status == 200 ? PeerMessages.readAnswer(body) : null;
           if (a != null) {
             answered(a, now);
@@ -596,14 +592,15 @@
     othersAt = ports.now();
     owners.clear();
     a.owners().forEach(this::owner);
-    // A part we hold that the leader neither renews nor gives to another is being taken back.
-    for (PartId p : new ArrayList<>(stewards.keySet())) {
-      boolean kept = a.leases().stream().anyMatch(l -> l.part().equals(p));
-      if (!kept) {
-        giveUp(p, "not renewed by the leader");
-        beatAt = ports.now();
-      }
-    }
+    // A part we hold that the leader neither renews nor gives to another is being taken back. The
+    // next heartbeat, without the part, tells the leader that it is free.
+    stewards.forEach(
+        (part, steward) -> {
+          boolean kept = a.leases().stream().anyMatch(l -> l.part().equals(part));
+          if (!kept && steward.relinquish("not renewed by the leader")) {
+            beatAt = ports.now();
+          }
+        });
     boolean news = a.whole() || a.lendVersion() != lendVersion;
     lendVersion = a.lendVersion();
     if (a.whole()) {
@@ -635,7 +632,8 @@
       }
       s.lease(l.epoch(), until);
     }
-    ports.share((double) stewards.size() / ports.tuning.parts(), election.holding());
+    long owned = stewards.values().stream().filter(s -> !s.relinquished()).count();
+    ports.share((double) owned / ports.tuning.parts(), election.holding());
     for (Steward s : stewards.values()) {
       if (a.whole()) {
         s.lentAll(lent.values());
@@ -650,7 +648,7 @@
       // The leader takes wants only from an owner that knows the last lending: say so at once.
       beatAt = ports.now().plus(100);
     }
-    ports.gauge("parts.owned", stewards.size());
+    ports.gauge("parts.owned", owned);
   }
 
   // ---- machine types -------------------------------------------------------------------------
@@ -728,6 +726,18 @@
     stewards.values().forEach(s -> s.catalog(c));
   }
 
+  /** The epochs of the parts whose workers this process may command at a moment, for observers. */
+  public Map<PartId, Epoch> commanded(Mono at) {
+    Map<PartId, Epoch> m = new TreeMap<>();
+    stewards.forEach(
+        (part, steward) -> {
+          if (steward.validAt(at)) {
+            m.put(part, steward.epoch());
+          }
+        });
+    return m;
+  }
+
   /** The epochs of the parts owned here, for observers. */
   public Map<PartId, Epoch> owned() {
     Map<PartId, Epoch> m = new TreeMap<>();
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -103,6 +103,12 @@
 
   private static final int SAVE_PAUSE_MS = 1000;
 
+  /** So many heartbeats an owner may miss at the end of an outage before it counts as lost. */
+  private static final long OWNER_HEARTBEATS = 3;
+
+  /** An owner without the state service, while others have it, is replaced after so long. */
+  private static final int STATE_BAD_MS = 2000;
+
   /** A part is not moved again so soon for its owner's bad hearing. */
   private static final int MOVE_PAUSE_MS = 20_000;
 
@@ -146,6 +152,19 @@
   private Mono saveAt = new Mono(0);
   private final Budget cloudCalls;
   private Stamp loadedTerm = Stamp.ABSENT;
+
+  /**
+   * Shards for which a new owner may yet be written down by a transaction without an answer. The
+   * next committed mint settles it, since all are guarded by the counter's stamp; before that the
+   * last owner gets no lease.
+   */
+  private final Set<PartId> ownerInDoubt = new TreeSet<>();
+
+  private Stamp doubtTerm = Stamp.ABSENT;
+
+  /** The grant was in doubt for a while, so no lease could be granted. */
+  private boolean interrupted;
+
   private boolean loading;
   private Mono loadRetryAt = new Mono(0);
   private Stamp epochStamp = Stamp.ABSENT;
@@ -180,6 +199,7 @@
 
   void tick() {
     if (!election.leading()) {
+      interrupted = true;
       return;
     }
     if (!ready()) {
@@ -188,11 +208,29 @@
       }
       return;
     }
+    if (interrupted) {
+      interrupted = false;
+      awaitOwners();
+    }
     assignParts();
     saveHosts();
     cloudWork();
   }
 
+  /**
+   * The same term goes on after a time in which no lease could be granted, as an outage of the
+   * state service leaves it. Owners that live are heard within a few heartbeats; only then does an
+   * ended lease say anything about its owner.
+   */
+  private void awaitOwners() {
+    Mono heardBy = ports.now().plus(ports.tuning.renewMs() * OWNER_HEARTBEATS);
+    for (Part p : parts.values()) {
+      if (p.leaseUntil.before(heardBy)) {
+        p.leaseUntil = heardBy;
+      }
+    }
+  }
+
   // ---- taking office -------------------------------------------------------------------------
 
   private void load() {
@@ -251,6 +289,11 @@
             // The last leader may have renewed the lease just before its term ended.
             p.leaseUntil = ports.now().plus(leaseBound());
           }
+          if (!term.equals(doubtTerm)) {
+            // What an earlier term sent is refused, for the leader's key has changed.
+            ownerInDoubt.clear();
+          }
+          ownerInDoubt.forEach(id -> parts.get(id).vacant = true);
           hosts.clear();
           shelfStamps.clear();
           loadHosts(term, "");
@@ -366,9 +409,9 @@
           pb = x;
         }
       }
-      if (node.stateBadSince != Mono.NEVER
-          && now.since(node.stateBadSince) > 2000
-          && anyOtherOk(b.from())) {
+      if (!p.revoking && lacksState(node) && anyOtherOk(b.from())) {
+        ports.info(
+            "part %s: %s has no state service, others have: taken back", e.getKey(), p.owner);
         p.revoking = true;
       }
       if (p.revoking && pb == null) {
@@ -442,6 +485,19 @@
     return another && elsewhere * 2 >= h.unheard();
   }
 
+  /**
+   * Whether a controller alone is without the state service: after an outage it gets as long to
+   * notice the end as it would get to notice the beginning.
+   */
+  private boolean lacksState(Node n) {
+    if (n.stateBadSince == Mono.NEVER) {
+      return false;
+    }
+    Mono since =
+        n.stateBadSince.before(ports.stateOkSince()) ? ports.stateOkSince() : n.stateBadSince;
+    return ports.now().since(since) > STATE_BAD_MS;
+  }
+
   private boolean canServe(Node n) {
     return n.stateOk && ports.now().since(n.heard) <= ports.tuning.renewMs() * 2L + 500;
   }
@@ -627,8 +683,13 @@
             // and a later mint behind the same guard is what settles it.
             loadedTerm = Stamp.ABSENT;
             loadRetryAt = ports.now().plus(200);
+            if (!StoreMessages.notCarriedOut(status) && !owner.equals(p.owner)) {
+              ownerInDoubt.add(id);
+              doubtTerm = term;
+            }
             return;
           }
+          ownerInDoubt.clear();
           epochStamp = new Stamp(StoreMessages.revision(body));
           epochCounter = next;
           p.owner = owner;
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -45,6 +45,8 @@
   private long wallMs;
   private SplittableRandom random = new SplittableRandom(0);
   private Mono stateOkAt = Mono.NEVER;
+  private Mono stateOkSince = Mono.NEVER;
+  private Mono peerHeardAt = Mono.NEVER;
 
   Ports(NodeConfig config, Tuning tuning, WriterId writer) {
     this.config = config;
@@ -152,8 +154,14 @@
     if (p == null) {
       return;
     }
+    if (p.target instanceof Output.Peer && a.status() != 0) {
+      peerHeard();
+    }
     if (p.target == Output.Service.STATE) {
       if (a.status() != 0 && a.status() < 500) {
+        if (!stateOk()) {
+          stateOkSince = now;
+        }
         stateOkAt = now;
         if (a.status() == 429) {
           requests.drain();
@@ -174,6 +182,21 @@
     return stateOkAt;
   }
 
+  /** Another controller has answered, whatever it was asked, or asks something. */
+  void peerHeard() {
+    peerHeardAt = now;
+  }
+
+  /** How long no other controller has been heard. */
+  long aloneMs() {
+    return now.since(peerHeardAt);
+  }
+
+  /** When the state service began to answer again after it had not, or first. */
+  Mono stateOkSince() {
+    return stateOkSince;
+  }
+
   void reply(long reply, int status, JsonNode body) {
     out.add(new Output.Reply(reply, status, body, 0));
   }
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -81,6 +81,9 @@
   /** How often all machines and jobs are looked at; the rounds between look at what changed. */
   private static final int LOOK_MS = 1000;
 
+  /** After a leader's grant has ended: until another leads, has read its keys and is heard. */
+  private static final int ELECTION_MS = 4000;
+
   private enum Stage {
     LOADING,
     READY
@@ -91,6 +94,7 @@
   private final Epoch firstEpoch;
   private Epoch epoch;
   private Mono validUntil = Mono.NEVER;
+  private boolean relinquished;
   private Epoch fenced = Epoch.NONE;
   private boolean reload;
 
@@ -184,10 +188,15 @@
     if (validUntil.before(until)) {
       validUntil = until;
     }
+    relinquished = false;
   }
 
   boolean valid() {
-    return ports.now().before(validUntil);
+    return validAt(ports.now());
+  }
+
+  boolean validAt(Mono at) {
+    return at.before(validUntil);
   }
 
   /** Since when the picture is whole. */
@@ -199,20 +208,46 @@
     return stage == Stage.READY;
   }
 
+  /**
+   * The leader has not renewed the lease. From now on nothing is commanded or written, as after a
+   * lapse; but until a successor is named, which an outage of the state service may delay, workers'
+   * leases are renewed like in the grace, whose length counts from here.
+   *
+   * @return whether this is news
+   */
+  boolean relinquish(String why) {
+    if (relinquished) {
+      return false;
+    }
+    relinquished = true;
+    if (valid()) {
+      validUntil = ports.now();
+    }
+    ports.info("part %s: epoch %s no longer commanded: %s", part, epoch, why);
+    ports.count("part.relinquished");
+    return true;
+  }
+
+  boolean relinquished() {
+    return relinquished;
+  }
+
   /**
    * After the lease a worker's own lease may still be renewed, without commands, so that running
    * work outlives an outage of the state service. Bounded: a new owner counts on silence after it.
    */
   boolean inGrace(boolean alone) {
     long over = ports.now().since(validUntil);
-    long max = ports.tuning.graceMs();
+    if (over < 0 || over >= ports.tuning.graceMs()) {
+      return false;
+    }
     if (ports.stateOk()) {
-      // The store is there, so a leader will be: a gap between two terms.
-      max = Math.min(max, ports.tuning.leaderTtlMs() + 2000L);
-    } else if (alone && !hearsFew) {
-      max = Math.min(max, ports.tuning.leaseMs() * 2L);
+      // The store is there, so a leader soon will be: as long as an election and a heartbeat take,
+      // counted from the end of an outage.
+      long there = Math.min(over, ports.now().since(ports.stateOkSince()));
+      return there < ports.tuning.leaderTtlMs() + ELECTION_MS;
     }
-    return over >= 0 && over < max;
+    return !alone || hearsFew || over < ports.tuning.leaseMs() * 2L;
   }
 
   /** Up to when the state service has shown this owner all cancellations. */
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -182,13 +182,7 @@
           .put("epoch", l.epoch.value())
           .put("ttlMs", l.ttlMs);
     }
-    ArrayNode os = n.putArray("owners");
-    for (OwnerInfo o : a.owners) {
-      os.addObject()
-          .put("part", o.part.value())
-          .put("label", o.label.value())
-          .put("epoch", o.epoch.value());
-    }
+    owners(n.putArray("owners"), a.owners);
     n.put("whole", a.whole);
     ArrayNode hs = n.putArray("lent");
     for (Lent l : a.lent) {
@@ -219,14 +213,6 @@
               new Epoch(l.path("epoch").asLong()),
               l.path("ttlMs").asLong()));
     }
-    List<OwnerInfo> owners = new ArrayList<>();
-    for (JsonNode o : n.path("owners")) {
-      owners.add(
-          new OwnerInfo(
-              new PartId(o.path("part").asInt()),
-              new NodeLabel(o.path("label").asText()),
-              new Epoch(o.path("epoch").asLong())));
-    }
     List<Lent> lent = new ArrayList<>();
     for (JsonNode h : n.path("lent")) {
       lent.add(
@@ -242,7 +228,7 @@
         n.path("term").asLong(),
         n.path("othersOk").asBoolean(),
         leases,
-        owners,
+        owners(n.path("owners")),
         n.path("ver").asLong(),
         n.path("whole").asBoolean(),
         lent,
@@ -251,8 +237,11 @@
         blocked);
   }
 
-  /** All cancellations that a controller has confirmed to users in the last {@code spanMs}. */
-  public record Confirmed(long spanMs, List<JobId> ids) {}
+  /**
+   * All cancellations that a controller has confirmed to users in the last {@code spanMs}, and the
+   * shard owners it knows of.
+   */
+  public record Confirmed(long spanMs, List<JobId> ids, List<OwnerInfo> owners) {}
 
   /** Asks for what the other has confirmed lately. */
   public static ObjectNode confirmedWithin(long ms) {
@@ -268,6 +257,7 @@
     ObjectNode n = Json.object().put("spanMs", c.spanMs);
     ArrayNode a = n.putArray("ids");
     c.ids.forEach(id -> a.add(id.value()));
+    owners(n.putArray("owners"), c.owners);
     return n;
   }
 
@@ -284,7 +274,7 @@
       }
       l.add(new JobId(id.textValue()));
     }
-    return new Confirmed(span, l);
+    return new Confirmed(span, l, owners(n.path("owners")));
   }
 
   /** A user's request as it came. */
@@ -355,6 +345,27 @@
     return m;
   }
 
+  private static void owners(ArrayNode a, Collection<OwnerInfo> owners) {
+    for (OwnerInfo o : owners) {
+      a.addObject()
+          .put("part", o.part.value())
+          .put("label", o.label.value())
+          .put("epoch", o.epoch.value());
+    }
+  }
+
+  private static List<OwnerInfo> owners(JsonNode a) {
+    List<OwnerInfo> owners = new ArrayList<>();
+    for (JsonNode o : a) {
+      owners.add(
+          new OwnerInfo(
+              new PartId(o.path("part").asInt()),
+              new NodeLabel(o.path("label").asText()),
+              new Epoch(o.path("epoch").asLong())));
+    }
+    return owners;
+  }
+
   private static ObjectNode host(ObjectNode o, HostInfo h) {
     return o.put("h", h.name.value()).put("type", h.type).put("zone", h.zone).put("spot", h.spot);
   }
--- a/src/main/java/shorecrank/protocol/StoreMessages.java
+++ b/src/main/java/shorecrank/protocol/StoreMessages.java
@@ -21,6 +21,11 @@
   public static final String GRANTS = "/grants";
   public static final String MULTI = "/multi";
 
+  /** Whether a status says that the request was not carried out and never will be. */
+  public static boolean notCarriedOut(int status) {
+    return status == 400 || status == 409 || status == 429 || status == 503;
+  }
+
   public static String key(String key) {
     return "/store/" + key;
   }
--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -64,6 +64,23 @@
     return begunAt.getOrDefault(one, Long.MAX_VALUE) < begunAt.getOrDefault(other, Long.MAX_VALUE);
   }
 
+  /** Never may two processes command the same shard, under whichever epochs. */
+  void oneOwner(World.Node node) {
+    for (var shard : node.commanded().entrySet()) {
+      for (World.Node other : world.nodes) {
+        if (other != node && other.commanded().containsKey(shard.getKey())) {
+          broken(
+              "two_owners: %s at %s and %s at %s"
+                  .formatted(
+                      node.label,
+                      shard.getValue(),
+                      other.label,
+                      other.commanded().get(shard.getKey())));
+        }
+      }
+    }
+  }
+
   void trouble(long until) {
     troublesOver = Math.max(troublesOver, until);
   }
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -127,6 +127,7 @@
         return;
       }
       step(new Input.Tick(() -> false));
+      checker.oneOwner(this);
       rounds += core.owned().size();
       sim.after(50, () -> tick(mine));
     }
@@ -147,8 +148,17 @@
       }
     }
 
+    private Mono steady() {
+      return new Mono((long) (sim.now * clock) + clockOffset);
+    }
+
+    /** The epochs of the shards that it may command now. */
+    Map<PartId, Epoch> commanded() {
+      return up ? core.commanded(steady()) : Map.of();
+    }
+
     private void step(Input in) {
-      Mono now = new Mono((long) (sim.now * clock) + clockOffset);
+      Mono now = steady();
       for (Output o : core.step(in, now, 1_000_000_000_000L + sim.now, sim.random.nextLong())) {
         if (o instanceof Output.Reply r) {
           BiConsumer<Integer, JsonNode> to = replies.remove(r.reply());
