--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -89,6 +89,9 @@
     boolean recall;
     Mono listedAt = Mono.NEVER;
 
+    /** Whether the assignment stands in the store. */
+    boolean recorded;
+
     /** The lending in which it last changed. */
     long version;
   }
@@ -338,6 +341,7 @@
               h.part = new PartId(v.path(4).asInt());
               h.term = new Epoch(v.path(5).asLong());
               h.since = ports.now();
+              h.recorded = true;
               hosts.put(h.info.name(), h);
             }
           }
@@ -552,13 +556,14 @@
     List<HostName> off = new ArrayList<>();
     if (b.lendVersion() != lendVersion) {
       for (Host h : hosts.values()) {
-        if (whole || h.version > b.lendVersion()) {
+        if (told(h) && (whole || h.version > b.lendVersion())) {
           lent.add(new Lent(h.info, h.part, now.since(h.since), h.recall));
         }
       }
       if (!whole) {
         for (Dropped d : dropped) {
-          if (d.version > b.lendVersion() && !hosts.containsKey(d.name)) {
+          Host assigned = hosts.get(d.name);
+          if (d.version > b.lendVersion() && (assigned == null || !told(assigned))) {
             off.add(d.name);
           }
         }
@@ -595,6 +600,15 @@
         blocked);
   }
 
+  /**
+   * Whether owners may be told of an assignment. With several shards only once it is written down:
+   * the next leader would otherwise not know of it and might assign the machine to another shard
+   * while it holds tasks. With one shard there is no other.
+   */
+  private boolean told(Host h) {
+    return h.recorded || parts.size() == 1;
+  }
+
   private void assignParts() {
     Mono now = ports.now();
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
@@ -872,6 +886,7 @@
           if (status == 200) {
             Stamp stamp = new Stamp(StoreMessages.revision(body));
             values.keySet().forEach(key -> shelfStamps.put(key, stamp));
+            batch.forEach(shelf -> onShelf.get(shelf).forEach(this::recorded));
             return;
           }
           unsaved.addAll(batch);
@@ -882,6 +897,13 @@
         });
   }
 
+  private void recorded(Host h) {
+    if (!h.recorded) {
+      h.recorded = true;
+      h.version = ++lendVersion;
+    }
+  }
+
   /** What an owner asks for its part. */
   private void take(PartBeat pb, long knownVersion) {
     for (HostName h : pb.retire()) {
@@ -911,7 +933,8 @@
       }
     }
     // An owner that has not yet seen the last lending would ask for the same machines again.
-    if (knownVersion == lendVersion && claims.isEmpty() && claiming == 0) {
+    boolean allTold = parts.size() == 1 || (unsaved.isEmpty() && !saving);
+    if (knownVersion == lendVersion && allTold && claims.isEmpty() && claiming == 0) {
       for (Want w : pb.wants()) {
         Mono until = blockedUntil.get(w.offer());
         if (w.count() > 0 && (until == null || until.before(ports.now()))) {
@@ -942,7 +965,9 @@
       }
       return;
     }
+    // Until the new assignment is written down and told, the machine is nobody's.
     hosts.remove(x.info.name());
+    drop(x.info.name());
     lend(x.info, to);
   }
 
@@ -994,12 +1019,9 @@
               if (x != null) {
                 unsaved.add(shelf(h));
               }
-              dropped.add(new Dropped(++lendVersion, h));
+              drop(h);
               ports.info("machine %s: released", h);
             }
-            while (dropped.size() > KEPT_CHANGES) {
-              droppedFloor = dropped.poll().version;
-            }
             ports.count("machine.released");
           } else {
             toRelease.addAll(batch);
@@ -1008,6 +1030,14 @@
         });
   }
 
+  /** Tells owners that the machine is no longer assigned as they know. */
+  private void drop(HostName h) {
+    dropped.add(new Dropped(++lendVersion, h));
+    while (dropped.size() > KEPT_CHANGES) {
+      droppedFloor = dropped.poll().version;
+    }
+  }
+
   private void claim(Claim c) {
     claiming++;
     Stamp term = loadedTerm;
