Test of both versions: an upgrade while serving, by real processes on loopback

Builds the production commit from the repository's history and plays the stand-ins and checks of the scenarios in real time, against processes of both versions: each pair as leader and owner, takeovers both ways, users' requests passed on both ways, a state service that is out, one killed before its turn that comes back old, lower limits and a pipeline after the roll. Profile mixed-versions.

--- /dev/null
+++ b/src/test/java/shorecrank/sim/MixedVersionsTest.java
@@ -0,0 +1,300 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import shorecrank.sim.ProcessWorld.ProcessNode;
+import shorecrank.sim.ProcessWorld.Version;
+import shorecrank.sim.World.JobPlan;
+import shorecrank.sim.World.Mode;
+
+/**
+ * An upgrade while serving: real processes of the version in production and of this one, side by
+ * side and on each other's data. It checks the protocol's rules, which hold at any speed, and that
+ * each pair of versions was met as leader and owner.
+ */
+@Tag("mixed-versions")
+class MixedVersionsTest {
+  private static final Path BASE = Path.of("").toAbsolutePath();
+  private static final long WAIT_MS = 40_000;
+  private static final long JOB_EVERY_MS = 1200;
+  private static final long CANCEL_AFTER_MS = 2500;
+
+  private ProcessWorld world;
+  private Version production;
+  private Version present;
+  private int submitted;
+
+  @Test
+  void anUpgradeWhileServing() throws Exception {
+    production = production();
+    present = present();
+    Path logs = Files.createDirectories(BASE.resolve("target/mixed-versions"));
+    Path own = Files.createTempDirectory(logs, "run");
+    long seed = Long.getLong("seed", 1);
+    try (ProcessWorld w = new ProcessWorld(seed, production, own)) {
+      world = w;
+      describeSite();
+      world.mayLead(null);
+      world.open(3);
+      world.mayLead(node(1));
+      for (int i = 0; i < 4; i++) {
+        world.cloud.boot("p8", i % 2 == 0 ? "a" : "b", false, 0);
+      }
+      await("the first leader", () -> leads(1) && world.owner(0) != null);
+      submitEvery(JOB_EVERY_MS);
+      world.play(5000);
+
+      oldLeaderNewOwner();
+      newLeaderOldOwner();
+      usersPassedOn();
+      outage();
+      oldOnesReturn();
+      allNew();
+      pipelineUnderLowerLimits();
+      finish();
+      world.checker.end();
+      assertEquals(List.of(), world.checker.broken);
+      assertTrue(world.checker.starts > 0);
+    }
+  }
+
+  /** A roll of one while an old process leads; the shard moves to the new one, and away again. */
+  private void oldLeaderNewOwner() {
+    roll(0);
+    await("an old leader with a new owner", () -> leads(1) && owns(0));
+    assertEquals(production, node(1).version());
+    serveFor(6000);
+    node(0).crash(9000);
+    await("a takeover by an old one", () -> owns(2));
+    serveFor(4000);
+  }
+
+  /** The leader is killed; the new process leads over an old owner. */
+  private void newLeaderOldOwner() {
+    await("the new one back", () -> node(0).up);
+    world.play(2000);
+    world.mayLead(node(0));
+    node(1).crash(12_000);
+    await("a new leader with an old owner", () -> leads(0) && owns(2));
+    assertEquals(production, node(2).version());
+    serveFor(6000);
+    // Killed before its turn: it comes back old, and meets a new owner under the new leader.
+    node(1).upgrade(present);
+    await("the second of the new ones", () -> node(1).up);
+    world.play(2000);
+    node(2).crash(3000);
+    await("a takeover by a new one", () -> owns(1));
+    serveFor(4000);
+  }
+
+  /** A controller that the state service refuses passes users' requests on, to either version. */
+  private void usersPassedOn() {
+    await("the old one back", () -> node(2).up);
+    world.play(2000);
+    world.cut(node(2), "state", 8000, Mode.REFUSE);
+    serveFor(9000);
+    assertTrue(node(2).metric("user.relayed") > 0, "the old one passed nothing on");
+    world.mayLead(node(2));
+    node(0).crash(9000);
+    await("an old leader again", () -> leads(2));
+    await("the new leader's return", () -> node(0).up);
+    world.play(2000);
+    world.cut(node(0), "state", 8000, Mode.REFUSE);
+    serveFor(9000);
+    assertTrue(node(0).metric("user.relayed") > 0, "the new one passed nothing on");
+  }
+
+  private void outage() {
+    world.checker.trouble(world.sim.now + 12_000);
+    world.store.outage(12_000);
+    serveFor(14_000);
+  }
+
+  /** The owner of one version ends, and the other takes over on its records, several times. */
+  private void oldOnesReturn() {
+    for (int i = 0; i < 3; i++) {
+      ProcessNode owner = (ProcessNode) world.owner(0);
+      owner.crash(7500);
+      await("a takeover", () -> world.owner(0) != null && world.owner(0) != owner);
+      serveFor(2500);
+      await("the last owner's return", () -> owner.up);
+      world.play(1500);
+    }
+  }
+
+  private void allNew() {
+    world.mayLead(null);
+    roll(2);
+    await("a new leader", () -> world.leader() != null && world.leader().up);
+    serveFor(4000);
+    for (World.Node n : world.nodes) {
+      assertEquals(present, ((ProcessNode) n).version());
+    }
+  }
+
+  private void pipelineUnderLowerLimits() {
+    world.lowerLimits();
+    JobPlan step = plan(4, 1.5);
+    world.submit("wk-9001", step);
+    JobPlan next = plan(3, 1);
+    next.needs = List.of("wk-9001");
+    world.play(1500);
+    world.submit("wk-9002", next);
+    JobPlan last = plan(2, 1);
+    last.needs = List.of("wk-9002", "wk-1");
+    world.play(1500);
+    world.submit("wk-9003", last);
+    serveFor(3000);
+  }
+
+  private void finish() {
+    submitting = false;
+    await(
+        "the end of all jobs",
+        () -> world.submitted.stream().allMatch(j -> ended(world.checker.told(j))));
+    for (World.Node n : world.nodes) {
+      assertTrue(((ProcessNode) n).sound(), n.label + " has ended by itself");
+    }
+  }
+
+  private static boolean ended(String phase) {
+    return phase.equals("done") || phase.equals("withdrawn");
+  }
+
+  // ---- the site and its load -------------------------------------------------------------------
+
+  private void describeSite() {
+    world.zones = List.of("a", "b");
+    World.TypePlan type = new World.TypePlan();
+    type.cpus = 8;
+    type.memoryGb = 32;
+    type.bootS = 5;
+    type.zones = world.zones;
+    world.types.put("p8", type);
+    world.teamMax.put("t", 24.0);
+    world.teamMax.put("u", 0.0);
+    world.cloud.capacity = 6;
+    world.nextValueKb = 2;
+    world.nextTxnOps = 5;
+    world.closeLooks(600_000);
+  }
+
+  private boolean submitting = true;
+
+  /** Two teams, one of them at its limit now and then; every fifth job is cancelled. */
+  private void submitEvery(long ms) {
+    if (!submitting) {
+      return;
+    }
+    int number = ++submitted;
+    String id = "wk-" + number;
+    JobPlan plan = plan(1 + number % 6, 1 + number % 4);
+    plan.team = number % 3 == 0 ? "u" : "t";
+    world.submit(id, plan);
+    if (number % 5 == 0) {
+      world.sim.after(CANCEL_AFTER_MS, () -> world.cancel(id));
+    }
+    world.sim.after(ms, () -> submitEvery(ms));
+  }
+
+  private static JobPlan plan(int tasks, double runS) {
+    JobPlan plan = new JobPlan();
+    plan.pieces = tasks;
+    plan.cpus = 2;
+    plan.runS = runS;
+    plan.pullS = 0.5;
+    return plan;
+  }
+
+  // ---- controllers -----------------------------------------------------------------------------
+
+  private ProcessNode node(int index) {
+    return world.process(index);
+  }
+
+  private void roll(int index) {
+    node(index).upgrade(present);
+    node(index).crash(1000);
+  }
+
+  private boolean leads(int index) {
+    return world.leader() == node(index) && node(index).up;
+  }
+
+  private boolean owns(int index) {
+    return world.owner(0) == node(index);
+  }
+
+  private void serveFor(long ms) {
+    world.play(ms);
+    assertEquals(List.of(), world.checker.broken);
+  }
+
+  private void await(String what, BooleanSupplier holds) {
+    for (World.Node n : world.nodes) {
+      assertTrue(((ProcessNode) n).sound(), n.label + " has ended by itself");
+    }
+    assertTrue(world.playUntil(holds, WAIT_MS), "waited in vain for " + what);
+    assertEquals(List.of(), world.checker.broken);
+  }
+
+  // ---- versions --------------------------------------------------------------------------------
+
+  /** This version, with the memory that the service file gives it. */
+  private Version present() throws IOException {
+    List<String> command = new ArrayList<>();
+    for (String word : setting("run").split(" ")) {
+      boolean jar = word.equals("-jar") || word.contains("target/");
+      if (word.equals("java") || (word.startsWith("-X") && !jar)) {
+        command.add(word);
+      }
+    }
+    command.addAll(
+        List.of(
+            "-cp", System.getProperty("java.class.path"), "shorecrank.daemon.Main", "--config"));
+    return new Version("present", BASE, command);
+  }
+
+  /** The version in production, from the repository's history, built and run as the file says. */
+  private Version production() throws Exception {
+    String commit = setting("production");
+    Path directory = BASE.resolve("target/production-" + commit.substring(0, 12));
+    Path built = directory.resolve("target/shorecrank.jar");
+    if (!Files.exists(built)) {
+      Files.createDirectories(directory);
+      shell(BASE, "git archive " + commit + " | tar -x -C '" + directory + "'");
+      shell(directory, setting("build"));
+    }
+    return new Version("production", directory, List.of(setting("run").split(" ")));
+  }
+
+  private static void shell(Path directory, String line) throws Exception {
+    Process p =
+        new ProcessBuilder("bash", "-c", "set -o pipefail; " + line)
+            .directory(directory.toFile())
+            .inheritIO()
+            .start();
+    assertTrue(p.waitFor(10, TimeUnit.MINUTES), line);
+    assertEquals(0, p.exitValue(), line);
+  }
+
+  private static String setting(String name) throws IOException {
+    Matcher m =
+        Pattern.compile("(?m)^" + name + " = \"(.*)\"$")
+            .matcher(Files.readString(BASE.resolve("deploy/service.toml")));
+    assertTrue(m.find(), name + " is missing in deploy/service.toml");
+    return m.group(1);
+  }
+}
--- a/src/test/java/shorecrank/sim/Worker.java
+++ b/src/test/java/shorecrank/sim/Worker.java
@@ -158,8 +158,7 @@
   }
 
   String address() {
-    int i = Integer.parseInt(name.substring(2));
-    return "10.1." + i / 250 + "." + (1 + i % 250) + ":9000";
+    return world.workerAddress(this);
   }
 
   /** Commands that come by themselves; a hung machine reads them once it goes on. */
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -22,7 +22,7 @@
 import shorecrank.protocol.Json;
 
 /** Controllers and stand-ins on one simulated clock, with troubles. */
-final class World {
+class World {
   static final class TypePlan {
     double cpus;
     double memoryGb;
@@ -59,7 +59,7 @@
     REFUSE
   }
 
-  private record Cut(String what, long until, Mode mode, List<Runnable> held) {}
+  record Cut(String what, long until, Mode mode, List<Runnable> held) {}
 
   /**
    * Two zones that can't reach each other, or one that reaches nothing outside if other is null.
@@ -75,7 +75,8 @@
   /** Users, the state service and the cloud are in no zone. */
   private static final String REGIONAL = "";
 
-  final class Node {
+  /** A controller, run as its state machine in this process. */
+  class Node {
     final int index;
     final String label;
     final String zone;
@@ -148,6 +149,24 @@
       }
     }
 
+    /** The epochs of the shards that it owns. */
+    Map<PartId, Epoch> owned() {
+      return core.owned();
+    }
+
+    /** Hands a request in; the answer may come later or never. */
+    void request(
+        boolean peer,
+        String method,
+        String path,
+        JsonNode body,
+        BiConsumer<Integer, JsonNode> answer) {
+      long id = nextReply++;
+      replies.put(id, answer);
+      input(
+          new Input.Request(id, peer, method, path, body == null ? new byte[0] : Json.bytes(body)));
+    }
+
     private Mono steady() {
       return new Mono((long) (sim.now * clock) + clockOffset);
     }
@@ -287,9 +306,26 @@
   }
 
   private NodeConfig config(Node n) {
+    try {
+      return NodeConfig.read(Json.bytes(platformFile(n)));
+    } catch (NodeConfig.Invalid e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  /** Where a controller's users and workers, its peers, the state service and the cloud are. */
+  record Addresses(String users, String peers, String state, String cloud) {}
+
+  Addresses addresses(Node n) {
+    String host = "10.0.0." + (n.index + 1);
+    return new Addresses(host + ":80", host + ":81", "10.2.0.1:1", "10.2.0.2:1");
+  }
+
+  /** The file that the platform hands to a controller. */
+  ObjectNode platformFile(Node n) {
+    Addresses own = addresses(n);
     ObjectNode c = Json.object().put("label", n.label).put("location", n.zone);
-    c.put("public_addr", "10.0.0." + (n.index + 1) + ":80");
-    c.put("peer_bind", "10.0.0." + (n.index + 1) + ":81");
+    c.put("public_addr", own.users()).put("peer_bind", own.peers());
     var members = c.putArray("members");
     for (Node o : nodes) {
       if (o != n) {
@@ -297,10 +333,10 @@
             .addObject()
             .put("label", o.label)
             .put("location", o.zone)
-            .put("addr", "10.0.0." + (o.index + 1) + ":81");
+            .put("addr", addresses(o).peers());
       }
     }
-    c.putObject("endpoints").put("cloud", "10.2.0.2:1").put("state", "10.2.0.1:1");
+    c.putObject("endpoints").put("cloud", own.cloud()).put("state", own.state());
     ObjectNode s = c.putObject("settings");
     var teams = s.putArray("teams");
     teamMax.forEach(
@@ -326,20 +362,26 @@
           .put("txn_ops", nextTxnOps);
     }
     s.putObject("cloud").put("rps", 4.0).put("list_lag_s", listLagS);
-    try {
-      return NodeConfig.read(Json.bytes(c));
-    } catch (NodeConfig.Invalid e) {
-      throw new IllegalArgumentException(e);
-    }
+    return c;
   }
 
   void open(int count) {
     for (int i = 0; i < count; i++) {
-      nodes.add(new Node(i));
+      nodes.add(newNode(i));
     }
     nodes.forEach(Node::start);
   }
 
+  Node newNode(int index) {
+    return new Node(index);
+  }
+
+  /** Where commands for a worker go. */
+  String workerAddress(Worker w) {
+    int i = Integer.parseInt(w.name.substring(2));
+    return "10.1." + i / 250 + "." + (1 + i % 250) + ":9000";
+  }
+
   private long delay() {
     return 1 + sim.random.nextInt(6);
   }
@@ -521,7 +563,7 @@
     return c != null ? c : zoneCut(a.zone, b.zone);
   }
 
-  private Cut regionalCut(Node n, String kind) {
+  Cut regionalCut(Node n, String kind) {
     Cut c = n.cut(kind);
     return c != null || kind.equals("peers") ? c : zoneCut(n.zone, REGIONAL);
   }
@@ -533,13 +575,9 @@
       String path,
       JsonNode body,
       BiConsumer<Integer, JsonNode> answer) {
-    if (!to.up) {
-      return;
+    if (to.up) {
+      to.request(peer, method, path, body, answer);
     }
-    long id = to.nextReply++;
-    to.replies.put(id, answer);
-    to.input(
-        new Input.Request(id, peer, method, path, body == null ? new byte[0] : Json.bytes(body)));
   }
 
   void workerRequest(Worker w, int to, JsonNode body, BiConsumer<Integer, JsonNode> answer) {
@@ -910,7 +948,7 @@
     long top = -1;
     for (Node n : nodes) {
       if (n.up) {
-        Epoch e = n.core.owned().get(new PartId(part));
+        Epoch e = n.owned().get(new PartId(part));
         if (e != null && e.value() > top) {
           top = e.value();
           best = n;
