--- a/src/main/java/shorecrank/bookkeeping/JobRecord.java
+++ b/src/main/java/shorecrank/bookkeeping/JobRecord.java
@@ -24,7 +24,8 @@
  * The record of an unfinished job, as it stands in the store.
  *
  * <p>{@code seq} counts the writer's writes to this record, so that a writer that got no answer can
- * tell which of its writes was applied.
+ * tell which of its writes was applied. {@code readyAtMs} is when the last job that it needs was
+ * done; 0 if it needs none or that is not known.
  */
 public record JobRecord(
     JobSpec spec,
@@ -35,7 +36,8 @@
     List<LiveRange> live,
     long tries,
     boolean aborted,
-    long acceptedAtMs) {
+    long acceptedAtMs,
+    long readyAtMs) {
 
   /** Tasks placed on one machine in one round. Those already done do not count as live. */
   public record LiveRange(int first, int count, HostName host, Tenure tenure, Attempt attempt) {}
@@ -98,6 +100,12 @@
     return n;
   }
 
+  /** The same record with the mark of a cancellation. */
+  public JobRecord marked() {
+    return new JobRecord(
+        spec, epoch, writer, seq, done, live, tries, true, acceptedAtMs, readyAtMs);
+  }
+
   private ObjectNode head() {
     ObjectNode n = Json.object();
     n.put("e", epoch.value()).put("w", writer.value()).put("q", seq).put("t", tries);
@@ -105,6 +113,9 @@
     if (aborted) {
       n.put("x", true);
     }
+    if (readyAtMs > 0) {
+      n.put("r", readyAtMs);
+    }
     return n;
   }
 
@@ -166,6 +177,9 @@
 
   /** Null if it is not such a record. */
   public static JobRecord read(JsonNode n) {
+    if (malformedHead(n)) {
+      return null;
+    }
     JsonNode packed = n.path(n.has("y") ? "y" : "z");
     JsonNode columns = packed.isTextual() ? Packed.unpack(packed.textValue()) : null;
     if (columns != null && columns.isMissingNode()) {
@@ -190,9 +204,9 @@
       }
     }
     for (int i = 0; i + 1 < d.size(); i += 2) {
-      int first = d.get(i).asInt();
-      int many = d.get(i + 1).asInt();
-      if (first < 0 || many < 0 || first + many > spec.tasks()) {
+      int first = d.get(i).asInt(-1);
+      int many = d.get(i + 1).asInt(-1);
+      if (outside(first, many, spec)) {
         return null;
       }
       done.set(first, first + many);
@@ -213,7 +227,7 @@
               new Tenure(field.apply(3).asLong()),
               new Attempt(field.apply(4).asLong()));
       end = lr.first + lr.count;
-      if (lr.first < 0 || lr.count < 0 || lr.first + lr.count > spec.tasks()) {
+      if (outside(lr.first, lr.count, spec)) {
         return null;
       }
       live.add(lr);
@@ -227,7 +241,22 @@
         live,
         n.path("t").asLong(),
         n.path("x").asBoolean(false),
-        n.path("at").asLong());
+        n.path("at").asLong(),
+        Math.max(0, n.path("r").asLong()));
+  }
+
+  /** Whether a range is not one of the job's; sums may exceed what an int holds. */
+  private static boolean outside(int first, int count, JobSpec spec) {
+    return first < 0 || count < 0 || (long) first + count > spec.tasks();
+  }
+
+  /** Whether a field that every version writes is missing or out of range. */
+  private static boolean malformedHead(JsonNode n) {
+    return Json.count(n.path("e")) < 0
+        || Json.count(n.path("q")) < 0
+        || Json.count(n.path("t")) < 0
+        || Json.count(n.path("at")) < 0
+        || !n.path("w").isTextual();
   }
 
   /** The short record that is kept for ever once a job is over. */
@@ -241,9 +270,17 @@
       return new Standing(phase, done, 0);
     }
 
+    /** Null if it is not such a record. */
     public static Final read(JsonNode n) {
-      return new Final(
-          "done".equals(n.path("p").asText()) ? Phase.DONE : Phase.WITHDRAWN, n.path("n").asInt());
+      long done = Json.count(n.path("n"));
+      if (done < 0 || done > JobSpec.MAX_TASKS) {
+        return null;
+      }
+      return switch (Json.text(n.path("p"))) {
+        case "done" -> new Final(Phase.DONE, (int) done);
+        case "withdrawn" -> new Final(Phase.WITHDRAWN, (int) done);
+        default -> null;
+      };
     }
   }
 }
--- a/src/main/java/shorecrank/coordination/Dependencies.java
+++ b/src/main/java/shorecrank/coordination/Dependencies.java
@@ -203,10 +203,14 @@
         null,
         CALL_MS,
         (status, body) -> {
-          if (status == 200) {
+          Final end = status == 200 ? Final.read(StoreMessages.entry(body).value()) : null;
+          if (end != null) {
             looking.remove(id);
-            ended(id, Final.read(StoreMessages.entry(body).value()).phase());
+            ended(id, end.phase());
           } else {
+            if (status == 200) {
+              ports.unreadable(JobRecord.finalKey(id));
+            }
             if (status == 404) {
               ports.error("job %s is needed by others and has no record", id);
             }
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -170,7 +170,7 @@
     this.dirtyJobs = dirtyJobs;
     this.spec = r.spec();
     this.acceptedAtMs = r.acceptedAtMs();
-    this.readyAtMs = acceptedAtMs;
+    this.readyAtMs = r.readyAtMs() > 0 ? r.readyAtMs() : acceptedAtMs;
     this.priority = spec.priority();
     this.awaits.addAll(spec.prerequisites());
     this.base = life << 24;
@@ -307,8 +307,19 @@
     if (first != null) {
       ranges.add(range(first, end));
     }
+    boolean waited = !spec.prerequisites().isEmpty() && awaits.isEmpty();
     return new JobRecord(
-        spec, e, w, seq, (BitSet) done.clone(), ranges, tries, aborted, acceptedAtMs);
+        // Once it is placed, nobody asks any more what it needed.
+        tries > 0 ? spec.withoutPrerequisites() : spec,
+        e,
+        w,
+        seq,
+        (BitSet) done.clone(),
+        ranges,
+        tries,
+        aborted,
+        acceptedAtMs,
+        waited || readyAtMs > acceptedAtMs ? readyAtMs : 0);
   }
 
   private static LiveRange range(LiveTask first, int end) {
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -247,7 +247,13 @@
         (status, body) -> {
           if (status == 200) {
             epochStamp = StoreMessages.entry(body).stamp();
-            epochCounter = body.path("data").path("v").asLong();
+            epochCounter = Json.count(body.path("data").path("v"));
+            if (epochCounter < 0) {
+              // Taken for 0, epochs would begin again.
+              ports.unreadable(EPOCH);
+              loadLater();
+              return;
+            }
           } else if (status == 404) {
             epochStamp = Stamp.ABSENT;
             epochCounter = 0;
@@ -331,18 +337,13 @@
             last = e.key();
             shelfStamp(e);
             for (JsonNode v : e.value().path("m")) {
-              Host h = new Host();
-              h.info =
-                  new HostInfo(
-                      new HostName(v.path(0).asText()),
-                      v.path(1).asText(),
-                      v.path(2).asText(),
-                      v.path(3).asBoolean());
-              h.part = new PartId(v.path(4).asInt());
-              h.term = new Epoch(v.path(5).asLong());
-              h.since = ports.now();
-              h.recorded = true;
-              hosts.put(h.info.name(), h);
+              Host h = readHost(v);
+              if (h == null) {
+                // Met again, it is assigned anew.
+                ports.unreadable(e.key());
+              } else {
+                hosts.put(h.info.name(), h);
+              }
             }
           }
           if (StoreMessages.more(body) && !last.isEmpty()) {
@@ -376,6 +377,25 @@
         });
   }
 
+  /** A machine as it stands on its shelf; null if that makes no sense. */
+  private Host readHost(JsonNode v) {
+    String name = Json.text(v.path(0));
+    long part = Json.count(v.path(4));
+    long term = Json.count(v.path(5));
+    if (name.isEmpty() || part < 0 || part >= ports.tuning.parts() || term < 0) {
+      return null;
+    }
+    Host h = new Host();
+    h.info =
+        new HostInfo(
+            new HostName(name), Json.text(v.path(1)), Json.text(v.path(2)), v.path(3).asBoolean());
+    h.part = new PartId((int) part);
+    h.term = new Epoch(term);
+    h.since = ports.now();
+    h.recorded = true;
+    return h;
+  }
+
   // ---- beats and leases ----------------------------------------------------------------------
 
   /** Null while this controller can't answer for the leader. */
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -28,6 +28,9 @@
   /** For timers that fire late, here and at the worker. */
   private static final int EVIDENCE_MARGIN_MS = 500;
 
+  /** What can't be read is logged no more often. */
+  private static final int UNREADABLE_PAUSE_MS = 5000;
+
   final NodeConfig config;
   final Tuning tuning;
   final WriterId writer;
@@ -47,6 +50,7 @@
   private Mono stateOkAt = Mono.NEVER;
   private Mono stateOkSince = Mono.NEVER;
   private Mono peerHeardAt = Mono.NEVER;
+  private Mono unreadableToldAt = Mono.NEVER;
 
   Ports(NodeConfig config, Tuning tuning, WriterId writer) {
     this.config = config;
@@ -213,6 +217,15 @@
     out.add(new Output.Log(Output.Level.ERROR, String.format(format, args)));
   }
 
+  /** A key of the state service holds nothing that this version reads; it is left alone. */
+  void unreadable(String key) {
+    count("state.unreadable");
+    if (now.since(unreadableToldAt) >= UNREADABLE_PAUSE_MS) {
+      unreadableToldAt = now;
+      error("the value of %s makes no sense, left alone", key);
+    }
+  }
+
   void count(String metric) {
     count(metric, 1);
   }
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/Steward.java
@@ -387,7 +387,7 @@
             last = e.key();
             JobRecord r = JobRecord.read(e.value());
             if (r == null) {
-              ports.error("record %s makes no sense, left alone", e.key());
+              ports.unreadable(e.key());
             } else if (PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
               Job j = add(r, e.stamp());
               if (limited(ports.config.teams().get(r.spec().team())) && !j.claimed) {
@@ -874,10 +874,11 @@
           if (closed || jobs.get(j.id()) != j) {
             return;
           }
-          if (status == 200) {
+          JobRecord.Final end =
+              status == 200 ? JobRecord.Final.read(StoreMessages.entry(body).value()) : null;
+          if (end != null) {
             forget(j);
-            dependencies.ended(
-                j.id(), JobRecord.Final.read(StoreMessages.entry(body).value()).phase());
+            dependencies.ended(j.id(), end.phase());
             ports.info("job %s: over, as its final record has it", j.id());
           } else if (status == 404) {
             latch(j, null);
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserDesk.java
@@ -1,5 +1,6 @@
 package shorecrank.coordination;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayDeque;
@@ -12,6 +13,7 @@
 import shorecrank.bookkeeping.JobRecord;
 import shorecrank.bookkeeping.JobRecord.Final;
 import shorecrank.config.NodeConfig;
+import shorecrank.coordination.PrerequisiteCheck.Result;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.JobId;
@@ -33,6 +35,12 @@
 final class UserDesk {
   private static final int CALL_MS = 1500;
   private static final int CANCEL_TRIES = 6;
+  private static final int CREATE_TRIES = 2;
+
+  /** What an owner adds to a record with its first placement, at the most. */
+  private static final int OWNERS_BYTES = 256;
+
+  private static final String TOO_LARGE = "its record is larger than the state service takes";
 
   private final Ports ports;
   private final Cache<JobId, Final> finals =
@@ -45,6 +53,7 @@
   private final Cancellations cancellations;
   private final Owners owners;
   private final Relay relay;
+  private final PrerequisiteCheck prerequisites;
   private Map<String, HostType> catalog = Map.of();
 
   /** A user's request; {@code relayed} if another controller passed it on. */
@@ -66,6 +75,11 @@
     this.cancellations = cancellations;
     this.relay = relay;
     this.owners = owners;
+    this.prerequisites =
+        new PrerequisiteCheck(
+            ports,
+            (id, found, absent, unknown) ->
+                lookUp(id, f -> found.accept(f.standing().phase()), absent, unknown));
   }
 
   void catalog(Map<String, HostType> c) {
@@ -106,56 +120,49 @@
     }
     String never = never(spec);
     if (never != null) {
-      // Limits may have changed since it was accepted: a known job is answered as such.
-      lookUp(
-          spec.id(),
-          found -> answerKnown(ask, spec.id(), found),
-          () -> ports.reply(ask.reply(), 422, Json.error(never)),
-          () -> unavailable(ask));
-      return;
-    }
-    if (!ports.stateOk()) {
+      refuse(ask, spec, never);
+    } else if (!ports.stateOk()) {
       unavailable(ask);
-      return;
-    }
-    if (!ports.requests.has(spec.prerequisites().size(), ports.now())) {
-      later(ask, "state requests are used up");
-      return;
+    } else {
+      ObjectNode value = firstRecord(spec);
+      if (value == null) {
+        refuse(ask, spec, TOO_LARGE);
+      } else {
+        prerequisites.check(spec.prerequisites(), result -> checked(ask, spec, value, result));
+      }
     }
-    prerequisites(ask, spec, new ArrayDeque<>(spec.prerequisites()), Phase.QUEUED);
   }
 
   /**
-   * Only jobs that were accepted may be named; a known job keeps its answer all the same. One that
-   * names a cancelled job is accepted, and is cancelled.
-   *
-   * @param phase what it is as far as the prerequisites looked up tell
+   * Only jobs that were accepted may be named. One that names a cancelled job is accepted, and is
+   * cancelled.
    */
-  private void prerequisites(Ask ask, JobSpec spec, ArrayDeque<JobId> left, Phase phase) {
-    JobId id = left.poll();
-    if (id == null) {
+  private void checked(Ask ask, JobSpec spec, ObjectNode value, PrerequisiteCheck.Result result) {
+    if (result instanceof Result.Accepted accepted) {
       if (ports.userWrites.tryTake(1, ports.now())) {
-        create(ask, spec, phase, 2);
+        Phase phase = accepted.cancelled() ? Phase.WITHDRAWN : Phase.QUEUED;
+        create(ask, spec, phase, value, CREATE_TRIES);
       } else {
         later(ask, "state changes are used up");
       }
-      return;
+    } else if (result instanceof Result.NeverAccepted never) {
+      refuse(ask, spec, "needs a job never accepted: " + never.id());
+    } else if (result instanceof Result.OutOfBudget) {
+      later(ask, "state requests are used up");
+    } else if (result instanceof Result.Unknown) {
+      unavailable(ask);
     }
+  }
+
+  /**
+   * A submission that can never be accepted gets 422. Limits may have changed since the job was
+   * accepted: a known one is answered as such.
+   */
+  private void refuse(Ask ask, JobSpec spec, String reason) {
     lookUp(
-        id,
-        found ->
-            prerequisites(
-                ask,
-                spec,
-                left,
-                found.standing().phase() == Phase.WITHDRAWN ? Phase.WITHDRAWN : phase),
-        () ->
-            lookUp(
-                spec.id(),
-                found -> answerKnown(ask, spec.id(), found),
-                () ->
-                    ports.reply(ask.reply(), 422, Json.error("needs a job never accepted: " + id)),
-                () -> unavailable(ask)),
+        spec.id(),
+        found -> answerKnown(ask, spec.id(), found),
+        () -> ports.reply(ask.reply(), 422, Json.error(reason)),
         () -> unavailable(ask));
   }
 
@@ -174,10 +181,38 @@
     return null;
   }
 
-  private void create(Ask ask, JobSpec spec, Phase phase, int tries) {
-    JobRecord r =
+  /**
+   * The form in which a record is written first, with room for what its owner adds; null if none
+   * fits. The compact form is for jobs that name others: versions that know no such jobs don't read
+   * it.
+   */
+  private ObjectNode firstRecord(JobSpec spec) {
+    JobRecord record =
         new JobRecord(
-            spec, Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, ports.wallMs());
+            spec,
+            Epoch.NONE,
+            WriterId.NONE,
+            0,
+            new BitSet(),
+            List.of(),
+            0,
+            false,
+            ports.wallMs(),
+            0);
+    double most = ports.config.state().valueKb() * 1024;
+    ObjectNode value = record.write();
+    int bytes = Json.bytes(value).length;
+    if (spec.prerequisites().isEmpty()) {
+      return bytes <= most ? value : null;
+    }
+    if (bytes + OWNERS_BYTES <= most) {
+      return value;
+    }
+    ObjectNode compact = record.writeCompact();
+    return Json.bytes(compact).length + OWNERS_BYTES <= most ? compact : null;
+  }
+
+  private void create(Ask ask, JobSpec spec, Phase phase, ObjectNode value, int tries) {
     partOf.put(spec.id(), PartId.of(spec.team(), ports.tuning.parts()));
     ports.state(
         "POST",
@@ -185,7 +220,7 @@
         new Txn()
             .guard(JobRecord.liveKey(spec.id()), Stamp.ABSENT)
             .guard(JobRecord.finalKey(spec.id()), Stamp.ABSENT)
-            .write(JobRecord.liveKey(spec.id()), r.write())
+            .write(JobRecord.liveKey(spec.id()), value)
             .body(),
         CALL_MS,
         (status, body) -> {
@@ -201,9 +236,12 @@
                 found -> answerKnown(ask, spec.id(), found),
                 () -> later(ask, "try again"),
                 () -> unavailable(ask));
+          } else if (status == 400) {
+            // The state service takes less than it has announced.
+            refuse(ask, spec, TOO_LARGE);
           } else if (status == 0 && tries > 1) {
             // It may have been accepted, or be yet: the same guard settles that.
-            create(ask, spec, phase, tries - 1);
+            create(ask, spec, phase, value, tries - 1);
           } else {
             unavailable(ask);
           }
@@ -328,6 +366,7 @@
             StoreMessages.Entry e = StoreMessages.entry(body);
             JobRecord r = JobRecord.read(e.value());
             if (r == null) {
+              ports.unreadable(JobRecord.liveKey(id));
               unknown.run();
             } else {
               partOf.put(id, PartId.of(r.spec().team(), ports.tuning.parts()));
@@ -350,6 +389,11 @@
         (status, body) -> {
           if (status == 200) {
             Final end = Final.read(StoreMessages.entry(body).value());
+            if (end == null) {
+              ports.unreadable(JobRecord.finalKey(id));
+              unknown.run();
+              return;
+            }
             finals.put(id, end);
             found.accept(new Found.Over(end));
           } else if (status == 404) {
@@ -442,25 +486,15 @@
       later(ask, "state changes are used up");
       return;
     }
-    JobRecord r = u.record;
-    JobRecord marked =
-        new JobRecord(
-            r.spec(),
-            r.epoch(),
-            r.writer(),
-            r.seq(),
-            r.done(),
-            r.live(),
-            r.tries(),
-            true,
-            r.acceptedAtMs());
+    mark(ask, id, u, tries, u.record.marked().write(), false);
+  }
+
+  private void mark(
+      Ask ask, JobId id, Found.Unfinished u, int tries, ObjectNode marked, boolean compact) {
     ports.state(
         "POST",
         StoreMessages.MULTI,
-        new Txn()
-            .guard(JobRecord.liveKey(id), u.stamp)
-            .write(JobRecord.liveKey(id), marked.write())
-            .body(),
+        new Txn().guard(JobRecord.liveKey(id), u.stamp).write(JobRecord.liveKey(id), marked).body(),
         CALL_MS,
         (status, body) -> {
           if (status == 200) {
@@ -470,6 +504,9 @@
           } else if (status == 409 || status == 0) {
             // Changed meanwhile, or not known: look again and write behind what is there now.
             cancel(ask, id, tries - 1);
+          } else if (status == 400 && !compact) {
+            // It was written under larger limits.
+            mark(ask, id, u, tries, u.record.marked().writeCompact(), true);
           } else {
             unavailable(ask);
           }
--- a/src/main/java/shorecrank/protocol/JobSpec.java
+++ b/src/main/java/shorecrank/protocol/JobSpec.java
@@ -72,6 +72,34 @@
     return deadlineS > 0;
   }
 
+  /** The same job, but for the jobs that it needs. */
+  public JobSpec withoutPrerequisites() {
+    if (prerequisites.isEmpty()) {
+      return this;
+    }
+    return new JobSpec(
+        id,
+        jobClass,
+        team,
+        priority,
+        tasks,
+        cpus,
+        gpus,
+        memoryGb,
+        image,
+        imageGb,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spot,
+        estimateS,
+        checkpointS,
+        saveS,
+        deadlineS,
+        List.of());
+  }
+
   /** How many of the tasks may be in one zone at once. */
   public int zoneCap() {
     return spread ? (tasks + 1) / 2 : tasks;
--- a/src/test/java/shorecrank/bookkeeping/ProductionFormsTest.java
+++ b/src/test/java/shorecrank/bookkeeping/ProductionFormsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,20 +17,25 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages;
 
 /**
- * What the version in production writes is read here, and written again to the letter: so it reads
- * ours. The file holds records, keys and messages of commit 6afd132, as its own scenarios mix,
- * scattered, cancel, parts, state-refused and owner-unreached wrote and sent them.
+ * What earlier versions write is read here, and written again to the letter: so they read ours. The
+ * files hold records, keys and messages of commits 6afd132 and b9fa1f3, as their own scenarios
+ * wrote and sent them.
  */
 class ProductionFormsTest {
-  private static Map<String, List<JsonNode>> forms() throws Exception {
+  private static final String PRODUCTION = "forms.txt";
+  private static final String PIPELINES = "forms-b9fa1f3.txt";
+
+  private static Map<String, List<JsonNode>> forms(String file) throws Exception {
     Map<String, List<JsonNode>> m = new TreeMap<>();
-    for (String line : Files.readAllLines(Path.of("src/test/resources/production/forms.txt"))) {
+    for (String line : Files.readAllLines(Path.of("src/test/resources/production", file))) {
       int tab = line.indexOf('\t');
       m.computeIfAbsent(line.substring(0, tab), k -> new ArrayList<>())
           .add(Json.parse(line.substring(tab + 1).getBytes(StandardCharsets.UTF_8)));
@@ -37,62 +43,129 @@
     return m;
   }
 
-  @Test
-  void records() throws Exception {
+  private static List<JsonNode> of(String file, String kind) throws Exception {
+    List<JsonNode> l = forms(file).get(kind);
+    assertNotNull(l, kind + " is missing in " + file);
+    return l;
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {PRODUCTION, PIPELINES})
+  void records(String file) throws Exception {
     int packed = 0;
     int marked = 0;
     for (String kind : List.of("key j/", "key j/ packed", "key j/ marked")) {
-      for (JsonNode n : forms().get(kind)) {
-        JobRecord r = JobRecord.read(n);
-        assertNotNull(r, n.toString());
-        JobRecord again = JobRecord.read(Json.parse(Json.bytes(r.write())));
-        assertEquals(r, again);
-        ObjectNode ours = r.write();
-        if (n.has("z")) {
-          packed++;
-        } else {
-          assertEquals(n, Json.parse(Json.bytes(ours)));
-        }
+      for (JsonNode n : of(file, kind)) {
+        assertSame(n);
+        packed += n.has("z") ? 1 : 0;
         marked += JobRecord.isMarked(n) ? 1 : 0;
-        assertEquals(n.path("x").asBoolean(false), r.aborted());
-        assertTrue(ours.fieldNames().hasNext());
-        assertFalse(ours.path("s").has("prereqs"));
+        assertFalse(n.path("s").has("prereqs"));
       }
     }
     assertTrue(packed > 0 && marked > 0);
-    for (JsonNode n : forms().get("key f/")) {
+    for (JsonNode n : of(file, "key f/")) {
       JobRecord.Final f = JobRecord.Final.read(n);
       assertEquals(n, Json.parse(Json.bytes(JobRecord.writeFinal(f.phase(), f.done()))));
     }
   }
 
   @Test
-  void messages() throws Exception {
-    Map<String, List<JsonNode>> m = forms();
-    for (JsonNode n : m.get("ask /peer/beat")) {
+  void recordsWithPrerequisites() throws Exception {
+    for (JsonNode n : of(PIPELINES, "key j/ prereqs")) {
+      assertSame(n);
+      assertFalse(JobRecord.read(n).spec().prerequisites().isEmpty());
+    }
+  }
+
+  /** Read and written again, a record is the same; a packed one says the same. */
+  private static void assertSame(JsonNode n) {
+    JobRecord r = JobRecord.read(n);
+    assertNotNull(r, n.toString());
+    ObjectNode ours = r.write();
+    assertEquals(r, JobRecord.read(Json.parse(Json.bytes(ours))));
+    assertEquals(n.path("x").asBoolean(false), r.aborted());
+    if (!n.has("z")) {
+      assertEquals(n, Json.parse(Json.bytes(ours)));
+    }
+  }
+
+  /** What makes no sense is refused, wherever it is wrong, and ends nothing. */
+  @Test
+  void damagedRecords() throws Exception {
+    for (String file : List.of(PRODUCTION, PIPELINES)) {
+      for (String kind : List.of("key j/", "key j/ packed")) {
+        for (JsonNode n : of(file, kind)) {
+          for (String field : List.of("e", "w", "q", "t", "at", "s")) {
+            ObjectNode without = n.deepCopy();
+            without.remove(field);
+            assertNull(JobRecord.read(without), field);
+            assertNull(JobRecord.read(((ObjectNode) n.deepCopy()).put(field, -1)), field);
+          }
+          if (n.has("z")) {
+            String z = n.path("z").textValue();
+            ObjectNode cut = ((ObjectNode) n.deepCopy()).put("z", z.substring(0, z.length() / 2));
+            assertNull(JobRecord.read(cut));
+            assertNull(JobRecord.read(((ObjectNode) n.deepCopy()).put("z", "no base 64")));
+          }
+        }
+      }
+    }
+    ObjectNode n = of(PRODUCTION, "key j/").get(1).deepCopy();
+    for (int[] range :
+        new int[][] {{0, Integer.MAX_VALUE}, {Integer.MAX_VALUE, 2}, {-1, 1}, {0, -1}}) {
+      ObjectNode done = n.deepCopy();
+      done.putArray("d").add(range[0]).add(range[1]);
+      assertNull(JobRecord.read(done));
+      ObjectNode live = n.deepCopy();
+      live.putArray("l").addArray().add(range[0]).add(range[1]).add("n-000001").add(1).add(1);
+      assertNull(JobRecord.read(live));
+    }
+    for (String text : List.of("{}", "[]", "3", "{\"p\":\"gone\",\"n\":1}", "{\"p\":\"done\"}")) {
+      assertNull(JobRecord.Final.read(Json.parse(text.getBytes(StandardCharsets.UTF_8))));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {PRODUCTION, PIPELINES})
+  void messages(String file) throws Exception {
+    for (JsonNode n : of(file, "ask /peer/beat")) {
       assertEquals(n, Json.parse(Json.bytes(PeerMessages.write(PeerMessages.readBeat(n)))));
     }
-    for (JsonNode n : m.get("answer /peer/beat")) {
+    for (JsonNode n : of(file, "answer /peer/beat")) {
       assertEquals(n, Json.parse(Json.bytes(PeerMessages.write(PeerMessages.readAnswer(n)))));
     }
-    for (JsonNode n : m.get("ask /peer/ask")) {
+    for (JsonNode n : of(file, "ask /peer/ask")) {
       List<JobId> ids = PeerMessages.asked(n);
       assertFalse(ids.isEmpty());
       assertEquals(n, Json.parse(Json.bytes(PeerMessages.ask(PeerMessages.askedPart(n), ids))));
     }
-    for (JsonNode n : m.get("answer /peer/ask")) {
+    for (JsonNode n : of(file, "answer /peer/ask")) {
       assertEquals(n.path("told").size(), PeerMessages.told(n).size());
     }
-    for (JsonNode n : m.get("ask /peer/relay")) {
+    for (JsonNode n : of(file, "ask /peer/relay")) {
       assertFalse(PeerMessages.relayedMethod(n).isEmpty());
       assertFalse(PeerMessages.relayedPath(n).isEmpty());
     }
   }
 
+  /** Since b9fa1f3 the answer also names owners; what it held before is the same. */
+  @Test
+  void confirmedCancellations() throws Exception {
+    for (JsonNode n : of(PIPELINES, "ask /peer/confirmed")) {
+      long within = PeerMessages.readConfirmedWithin(n);
+      assertEquals(n, Json.parse(Json.bytes(PeerMessages.confirmedWithin(within))));
+    }
+    for (JsonNode n : of(PIPELINES, "answer /peer/confirmed")) {
+      ObjectNode ours = PeerMessages.write(PeerMessages.readConfirmed(n));
+      assertTrue(ours.remove("owners").isEmpty());
+      assertEquals(n, Json.parse(Json.bytes(ours)));
+    }
+  }
+
   /** The shortest form says the same, however scattered the ends of tasks are. */
   @Test
   void compact() throws Exception {
-    for (JsonNode n : forms().get("key j/ packed")) {
+    for (JsonNode n : of(PRODUCTION, "key j/ packed")) {
       JobRecord r = JobRecord.read(n);
       BitSet done = new BitSet();
       for (int i = 0; i < r.spec().tasks(); i += 2) {
@@ -100,7 +173,7 @@
       }
       JobRecord scattered =
           new JobRecord(
-              r.spec(), r.epoch(), r.writer(), r.seq(), done, r.live(), r.tries(), true, 7);
+              r.spec(), r.epoch(), r.writer(), r.seq(), done, r.live(), r.tries(), true, 7, 0);
       ObjectNode compact = scattered.writeCompact();
       assertEquals(scattered, JobRecord.read(Json.parse(Json.bytes(compact))));
       assertTrue(Json.bytes(compact).length < Json.bytes(scattered.write()).length);
@@ -110,7 +183,7 @@
 
   @Test
   void prerequisites() throws Exception {
-    ObjectNode spec = (ObjectNode) forms().get("key j/").get(0).path("s").deepCopy();
+    ObjectNode spec = (ObjectNode) of(PRODUCTION, "key j/").get(0).path("s").deepCopy();
     spec.putArray("prereqs").add("wk-7").add("wk-8").add("wk-7");
     JobSpec s = JobSpec.read(spec);
     assertEquals(List.of(new JobId("wk-7"), new JobId("wk-8")), s.prerequisites());
--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -15,6 +15,9 @@
   private static final long BEGIN_MS = 240_000;
   private static final long FAIR_MS = 60_000;
 
+  /** An election, a mint and a rebuild take no longer. */
+  private static final long TAKEOVER_MS = 15_000;
+
   private final World world;
   final List<String> broken = new ArrayList<>();
   private final Map<String, Set<Worker>> on = new HashMap<>();
@@ -85,6 +88,11 @@
     troublesOver = Math.max(troublesOver, until);
   }
 
+  /** Whether some trouble is not over, or has just been: a takeover may still be under way. */
+  boolean troubled() {
+    return world.sim.now < troublesOver + TAKEOVER_MS;
+  }
+
   void submitted(String job) {
     submittedAt.putIfAbsent(job, world.sim.now);
   }
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -129,6 +129,7 @@
           w.store.valueKb = (int) number(o, "value", w.store.valueKb);
           w.nextValueKb = number(o, "next-value", 0);
           w.nextTxnOps = (int) number(o, "next-ops", w.store.txnOps);
+          w.announced = !o.containsKey("unannounced");
         }
         case "type" -> {
           Map<String, String> o = options(a, 2);
@@ -240,10 +241,28 @@
     p.together = o.containsKey("together");
     p.spread = o.containsKey("spread");
     p.faulty = o.containsKey("faulty");
-    p.needs = o.containsKey("needs") ? List.of(o.get("needs").split(",")) : List.of();
+    p.needs = o.containsKey("needs") ? jobs(o.get("needs")) : List.of();
     return p;
   }
 
+  /** Jobs by their ids; {@code wk-10..19} are ten. */
+  private static List<String> jobs(String list) {
+    List<String> jobs = new ArrayList<>();
+    for (String one : list.split(",")) {
+      int range = one.indexOf("..");
+      if (range < 0) {
+        jobs.add(one);
+        continue;
+      }
+      int first = Integer.parseInt(one.substring(one.indexOf('-') + 1, range));
+      int last = Integer.parseInt(one.substring(range + 2));
+      for (int i = first; i <= last; i++) {
+        jobs.add("wk-" + i);
+      }
+    }
+    return jobs;
+  }
+
   private List<Node> who(World w, String s) {
     if (s.equals("all")) {
       return w.nodes;
@@ -371,6 +390,14 @@
               Arrays.stream(a[2].split(","))
                   .map(w.checker::told)
                   .allMatch(t -> t.equals("done") || t.equals("withdrawn"));
+          // Or never accepted, in troubles that lasted for as long as its user tried.
+          case "over-or-refused" ->
+              Arrays.stream(a[2].split(","))
+                  .allMatch(
+                      j ->
+                          w.checker.told(j).equals("done")
+                              || w.checker.told(j).equals("withdrawn")
+                              || (w.checker.told(j).equals("unknown") && w.gaveUp.contains(j)));
           case "accepted" ->
               Arrays.stream(a[2].split(",")).noneMatch(j -> w.checker.told(j).equals("unknown"));
           case "status" -> w.statuses.getOrDefault(a[2], 0) == Integer.parseInt(a[3]);
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -285,6 +285,10 @@
   double nextValueKb;
 
   int nextTxnOps;
+
+  /** Whether controllers are told of them before. */
+  boolean announced = true;
+
   int leaseKills;
   int refusedFull;
 
@@ -355,7 +359,7 @@
         .put("write_rps", stateWrites)
         .put("txn_ops", store.txnOps)
         .put("value_kb", store.valueKb);
-    if (nextValueKb > 0) {
+    if (nextValueKb > 0 && announced) {
       s.withObject("/state")
           .putObject("next")
           .put("value_kb", nextValueKb)
@@ -895,10 +899,16 @@
             sim.after(1000, () -> submitTry(id, body, until, polls));
           } else {
             statuses.put(id, s);
+            if (s != 400 && s != 422 && checker.troubled()) {
+              gaveUp.add(id);
+            }
           }
         });
   }
 
+  /** Jobs whose users gave up submitting while there still were troubles. */
+  final Set<String> gaveUp = new HashSet<>();
+
   final Map<String, Integer> statuses = new HashMap<>();
 
   private void poll(String id) {
