--- a/src/main/java/shorecrank/coordination/Renting.java
+++ b/src/main/java/shorecrank/coordination/Autoscaler.java
@@ -17,7 +17,7 @@
 import shorecrank.protocol.PeerMessages.Want;
 
 /** Which machines a part asks the leader to rent and to return. */
-final class Renting {
+final class Autoscaler {
   /** Arrivals come in bursts: somewhat more than the last peak stays. */
   private static final double SPARE = 1.05;
 
@@ -39,7 +39,7 @@
   private static final double SETTLED_S = 32;
 
   private final Ports ports;
-  private final Steward steward;
+  private final ShardOwner owner;
   private final Map<Offer, Mono> blocked = new HashMap<>();
 
   /** When a kind was last known to be used up. */
@@ -53,9 +53,9 @@
   /** Falling peaks of what was needed lately, the highest first. */
   private final ArrayDeque<Peak> peaks = new ArrayDeque<>();
 
-  Renting(Ports ports, Steward steward) {
+  Autoscaler(Ports ports, ShardOwner owner) {
     this.ports = ports;
-    this.steward = steward;
+    this.owner = owner;
   }
 
   void blocked(List<Blocked> l) {
@@ -74,10 +74,10 @@
     double lease = ports.config.workers().leaseS() * 1000;
     Silence all = new Silence();
     Map<String, Silence> byZone = new HashMap<>();
-    for (Host h : steward.hosts.values()) {
+    for (Host h : owner.hosts.values()) {
       // One that holds tasks has run before, whether or not this owner has heard it.
       if (h.info != null && (h.reported() || !h.empty())) {
-        boolean silent = !steward.earshot.fresh(h);
+        boolean silent = !owner.liveness.fresh(h);
         all.add(silent);
         byZone.computeIfAbsent(h.info.zone(), z -> new Silence()).add(silent);
       }
@@ -99,8 +99,8 @@
     double soon = lease - early > 10_000 ? early : lease + 30_000;
     double patient = lease + 60_000;
     balance();
-    for (Host h : steward.hosts.values()) {
-      long quiet = steward.earshot.silentMs(h);
+    for (Host h : owner.hosts.values()) {
+      long quiet = owner.liveness.silentMs(h);
       // When it is over the last of them have a lease's time to find their way.
       Mono cutAt =
           h.info == null ? Mono.NEVER : zoneSilentAt.getOrDefault(h.info.zone(), Mono.NEVER);
@@ -125,13 +125,13 @@
           && h.empty()
           && now.since(h.deafFrom) > 3 * lease + 30_000) {
         retire.add(h.name);
-      } else if (h.quarantines > 1 && h.empty() && steward.earshot.fresh(h)) {
+      } else if (h.quarantines > 1 && h.empty() && owner.liveness.fresh(h)) {
         h.retiring = true;
         retire.add(h.name);
       } else if (h.draining
           && h.empty()
           && h.listedTasks == 0
-          && steward.earshot.fresh(h)
+          && owner.liveness.fresh(h)
           && now.since(h.idleSince) > 2000) {
         h.retiring = true;
         retire.add(h.name);
@@ -153,13 +153,13 @@
     double have = 0;
     List<Host> running = new ArrayList<>();
     List<Host> draining = new ArrayList<>();
-    for (Host h : steward.hosts.values()) {
+    for (Host h : owner.hosts.values()) {
       if (h.type() == null) {
         continue;
       }
       // What runs on a silent machine, or on one that goes, needs room elsewhere before long.
       used += h.usedShare() * h.type().cpus();
-      if (!h.reported() || !steward.earshot.fresh(h) || h.retiring || h.noticed) {
+      if (!h.reported() || !owner.liveness.fresh(h) || h.retiring || h.noticed) {
         continue;
       }
       if (h.draining) {
@@ -186,7 +186,7 @@
         Comparator.<Host>comparingDouble(h -> h.type().price(h.info.spot()) / h.type().cpus());
     draining.sort(dear.thenComparing(h -> h.name));
     for (Host h : running) {
-      unfit -= steward.usable(h) ? roomFor(waiting, h) : 0;
+      unfit -= owner.usable(h) ? roomFor(waiting, h) : 0;
     }
     for (Host h : draining) {
       if (have >= keep && unfit <= 0) {
@@ -196,7 +196,7 @@
       have += h.type().cpus();
       unfit -= roomFor(waiting, h);
     }
-    if (now.since(steward.readyAt()) < ports.tuning.idleReturnS() * 1000L) {
+    if (now.since(owner.readyAt()) < ports.tuning.idleReturnS() * 1000L) {
       return;
     }
     vacate(draining);
@@ -220,10 +220,10 @@
    */
   private void vacate(List<Host> draining) {
     double room = 0;
-    for (Host h : steward.hosts.values()) {
-      room += steward.usable(h) ? h.freeCpus() : 0;
+    for (Host h : owner.hosts.values()) {
+      room += owner.usable(h) ? h.freeCpus() : 0;
     }
-    for (Job j : steward.jobs.values()) {
+    for (Job j : owner.jobs.values()) {
       room -= j.queued() * j.spec.cpus();
     }
     room *= MOVE_SHARE;
@@ -232,7 +232,7 @@
             .thenComparing(Host::usedCpus)
             .thenComparing(h -> h.name));
     for (Host h : draining) {
-      if (!h.draining || h.empty() || !steward.earshot.fresh(h) || h.deaf) {
+      if (!h.draining || h.empty() || !owner.liveness.fresh(h) || h.deaf) {
         continue;
       }
       List<LiveTask> movable = new ArrayList<>();
@@ -282,12 +282,12 @@
   private Map<Job, Integer> waiting() {
     Map<Job, Integer> waiting = new LinkedHashMap<>();
     Map<String, double[]> left = new HashMap<>();
-    for (Job j : steward.jobs.values()) {
+    for (Job j : owner.jobs.values()) {
       if (j.queued() == 0 || j.backoff > 0) {
         continue;
       }
-      double[] l = left.computeIfAbsent(j.spec.team(), steward::limitLeft);
-      int n = Steward.within(l, j);
+      double[] l = left.computeIfAbsent(j.spec.team(), owner::limitLeft);
+      int n = ShardOwner.within(l, j);
       if (n > 0) {
         waiting.put(j, n);
         l[0] -= n * j.spec.cpus();
@@ -308,7 +308,7 @@
         JobSpec s = e.getKey().spec;
         int n = Math.min(h.fits(s), e.getValue());
         if (n > 0 && h.allowed(s)) {
-          best = Math.max(best, n * size(s, steward.catalog()));
+          best = Math.max(best, n * size(s, owner.catalog()));
         }
       }
     }
@@ -319,23 +319,23 @@
   private double need(Job j, int n) {
     double parallel =
         Math.min(n, Math.ceil(n * Math.max(1, j.spec.estimateS()) / ports.tuning.clearS()));
-    return parallel * size(j.spec, steward.catalog());
+    return parallel * size(j.spec, owner.catalog());
   }
 
   /** What the waiting work needs beyond what is there or on its way. */
   List<Want> wants() {
     List<Want> wants = new ArrayList<>();
-    if (!steward.ready() || !steward.valid()) {
+    if (!owner.ready() || !owner.valid()) {
       return wants;
     }
     Mono now = ports.now();
-    Map<String, HostType> catalog = steward.catalog();
+    Map<String, HostType> catalog = owner.catalog();
     Map<Job, Integer> waiting = waiting();
     if (waiting.isEmpty()) {
       return wants;
     }
     double free = 0;
-    for (Host h : steward.hosts.values()) {
+    for (Host h : owner.hosts.values()) {
       if (h.type() == null || !h.lent || h.retiring || h.noticed) {
         continue;
       }
@@ -344,7 +344,7 @@
         if (now.since(h.lentSince) < LONG_BOOT * 1000 * h.type().bootS()) {
           free += roomFor(waiting, h);
         }
-      } else if (steward.usable(h)) {
+      } else if (owner.usable(h)) {
         free += roomFor(waiting, h);
       }
     }
@@ -367,7 +367,7 @@
       }
     }
     Map<String, Integer> perZone = new HashMap<>();
-    steward.hosts.values().stream()
+    owner.hosts.values().stream()
         .filter(h -> h.info != null)
         .forEach(h -> perZone.merge(h.info.zone(), 1, Integer::sum));
     offers.sort(
@@ -411,12 +411,12 @@
   }
 
   private double perCpu(Offer o) {
-    HostType t = steward.catalog().get(o.type());
+    HostType t = owner.catalog().get(o.type());
     return t.price(o.spot()) / t.cpus();
   }
 
   private boolean served(Job j) {
-    for (Host h : steward.hosts.values()) {
+    for (Host h : owner.hosts.values()) {
       if (h.lent && !h.retiring && !h.noticed && h.allowed(j.spec)) {
         return true;
       }
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -58,9 +58,9 @@
   private final Ports ports;
   private final Election election;
   private final Leader leader;
-  private final UserDesk desk;
+  private final UserRequestHandler userRequests;
   private final Cancellations cancellations;
-  private final Map<PartId, Steward> stewards = new TreeMap<>();
+  private final Map<PartId, ShardOwner> shardOwners = new TreeMap<>();
   private final Map<PartId, OwnerInfo> owners = new TreeMap<>();
 
   /** Parts granted under an epoch that is used up, to be reported. */
@@ -72,7 +72,8 @@
   private final Map<HostName, Lent> lent = new LinkedHashMap<>();
   private final Map<HostName, HostInfo> seen = new LinkedHashMap<>();
   private final Map<HostName, Mono> strays = new HashMap<>();
-  private final Map<PartId, Map<JobId, List<Questions.OnStanding>>> questions = new TreeMap<>();
+  private final Map<PartId, Map<JobId, List<StatusQueries.OnStanding>>> statusQueries =
+      new TreeMap<>();
   private long lendVersion = -1;
   private Mono beatAt = new Mono(0);
   private Mono answeredAt = Mono.NEVER;
@@ -94,7 +95,7 @@
     this.election = new Election(ports);
     this.leader = new Leader(ports, election);
     this.cancellations = new Cancellations(ports, this::learnCancelled, this::owner);
-    this.desk = new UserDesk(ports, cancellations, this::askOwner, this::relay);
+    this.userRequests = new UserRequestHandler(ports, cancellations, this::askOwner, this::relay);
   }
 
   /**
@@ -143,12 +144,12 @@
         ports.state("GET", StoreMessages.key(Election.KEY), null, 1500, (status, body) -> {});
       }
     }
-    for (Steward s : stewards.values()) {
+    for (ShardOwner s : shardOwners.values()) {
       s.tick(t.budget());
     }
     sendQuestions();
     Mono blindSince = Mono.NEVER;
-    for (Steward s : stewards.values()) {
+    for (ShardOwner s : shardOwners.values()) {
       Mono of = s.storeAsOf();
       if (blindSince == Mono.NEVER || (of != Mono.NEVER && of.before(blindSince))) {
         blindSince = of;
@@ -158,7 +159,7 @@
   }
 
   private void learnCancelled(JobId id) {
-    stewards.values().forEach(s -> s.learnCancelled(id));
+    shardOwners.values().forEach(s -> s.learnCancelled(id));
   }
 
   // ---- requests ------------------------------------------------------------------------------
@@ -181,20 +182,21 @@
   }
 
   private void user(Input.Request r, String path, boolean relayed) {
-    UserDesk.Ask ask = new UserDesk.Ask(r.reply(), r.method(), path, r.body(), relayed);
+    UserRequestHandler.Ask ask =
+        new UserRequestHandler.Ask(r.reply(), r.method(), path, r.body(), relayed);
     if (path.equals("/api/jobs")) {
-      only("POST", r, () -> desk.submit(ask));
+      only("POST", r, () -> userRequests.submit(ask));
       return;
     }
     if (path.startsWith("/api/jobs/")) {
       String rest = path.substring("/api/jobs/".length());
       if (rest.endsWith("/abort") && rest.indexOf('/') == rest.length() - 6) {
         String id = rest.substring(0, rest.length() - 6);
-        only("POST", r, () -> desk.cancel(ask, id));
+        only("POST", r, () -> userRequests.cancel(ask, id));
         return;
       }
       if (!rest.isEmpty() && rest.indexOf('/') < 0) {
-        only("GET", r, () -> desk.status(ask, rest));
+        only("GET", r, () -> userRequests.status(ask, rest));
         return;
       }
     }
@@ -202,7 +204,7 @@
   }
 
   /** Passes a user's request on to a controller that reaches the state service, if one says so. */
-  private boolean relay(UserDesk.Ask ask, Runnable failed) {
+  private boolean relay(UserRequestHandler.Ask ask, Runnable failed) {
     if (!othersStateOk || ports.now().since(othersAt) > 4000) {
       return false;
     }
@@ -297,7 +299,7 @@
 
   private void peerAsk(Input.Request r) {
     JsonNode n = Json.parse(r.body());
-    Steward s = stewards.get(PeerMessages.askedPart(n));
+    ShardOwner s = shardOwners.get(PeerMessages.askedPart(n));
     List<JobId> ids = PeerMessages.asked(n);
     Map<JobId, Standing> told = new HashMap<>();
     if (s == null || ids.isEmpty()) {
@@ -320,8 +322,8 @@
   }
 
   /** Asks the owner of a part, here or elsewhere; null if it can't tell. */
-  private void askOwner(PartId part, JobId id, Questions.OnStanding then) {
-    Steward s = stewards.get(part);
+  private void askOwner(PartId part, JobId id, StatusQueries.OnStanding then) {
+    ShardOwner s = shardOwners.get(part);
     if (s != null) {
       s.ask(id, then);
       return;
@@ -331,7 +333,7 @@
       then.told(null);
       return;
     }
-    questions
+    statusQueries
         .computeIfAbsent(part, p -> new LinkedHashMap<>())
         .computeIfAbsent(id, k -> new ArrayList<>(1))
         .add(then);
@@ -362,11 +364,11 @@
 
   /** All questions since the last round go to an owner in one message. */
   private void sendQuestions() {
-    questions.forEach(
+    statusQueries.forEach(
         (part, byId) -> {
           OwnerInfo o = owners.get(part);
           List<JobId> ids = byId.keySet().stream().limit(PeerMessages.MAX_ASKED).toList();
-          Map<JobId, List<Questions.OnStanding>> sent = new LinkedHashMap<>(byId);
+          Map<JobId, List<StatusQueries.OnStanding>> sent = new LinkedHashMap<>(byId);
           if (o == null) {
             sent.values().forEach(l -> l.forEach(t -> t.told(null)));
             return;
@@ -382,7 +384,7 @@
                 sent.forEach((id, l) -> l.forEach(t -> t.told(told.get(id))));
               });
         });
-    questions.clear();
+    statusQueries.clear();
   }
 
   private void peerBeat(Input.Request r) {
@@ -455,7 +457,7 @@
       return;
     }
     PartId part = known.part();
-    Steward s = stewards.get(part);
+    ShardOwner s = shardOwners.get(part);
     if (s != null) {
       boolean alone = ports.aloneMs() > 4000;
       if (s.valid() || s.inGrace(alone)) {
@@ -492,7 +494,7 @@
     int renew = ports.tuning.renewMs();
     beatAt = now.plus(renew - renew / 10 + ports.random().nextInt(renew / 5 + 1));
     List<PartBeat> parts = new ArrayList<>();
-    stewards.values().stream().filter(s -> !s.relinquished()).forEach(s -> parts.add(s.beat()));
+    shardOwners.values().stream().filter(s -> !s.relinquished()).forEach(s -> parts.add(s.beat()));
     refused.forEach((part, epoch) -> parts.add(PartBeat.refused(part, epoch)));
     Beat b =
         new Beat(
@@ -564,14 +566,14 @@
     if (known == null || o.epoch().above(known.epoch())) {
       owners.put(o.part(), o);
     }
-    Steward s = stewards.get(o.part());
+    ShardOwner s = shardOwners.get(o.part());
     if (s != null && o.epoch().above(s.epoch()) && !o.label().equals(ports.config.label())) {
       giveUp(o.part(), "owner is " + o.label() + " at epoch " + o.epoch());
     }
   }
 
   private void giveUp(PartId part, String why) {
-    Steward s = stewards.remove(part);
+    ShardOwner s = shardOwners.remove(part);
     givenUp.merge(part, s.epoch(), (a, b) -> a.above(b) ? a : b);
     s.end(why);
   }
@@ -594,10 +596,10 @@
     a.owners().forEach(this::owner);
     // A part we hold that the leader neither renews nor gives to another is being taken back. The
     // next heartbeat, without the part, tells the leader that it is free.
-    stewards.forEach(
-        (part, steward) -> {
+    shardOwners.forEach(
+        (part, shardOwner) -> {
           boolean kept = a.leases().stream().anyMatch(l -> l.part().equals(part));
-          if (!kept && steward.relinquish("not renewed by the leader")) {
+          if (!kept && shardOwner.relinquish("not renewed by the leader")) {
             beatAt = ports.now();
           }
         });
@@ -611,7 +613,7 @@
     for (Lease l : a.leases()) {
       // Counted from before the request was sent, so that no delay can lengthen it.
       Mono until = sent.plus(l.ttlMs() - l.ttlMs() / 500 - 20);
-      Steward s = stewards.get(l.part());
+      ShardOwner s = shardOwners.get(l.part());
       if (s != null && l.epoch().above(s.epoch()) && !s.valid()) {
         // Since the lease lapsed another may have owned the part: what we remember is not true.
         giveUp(l.part(), "its lease had lapsed before epoch " + l.epoch());
@@ -624,17 +626,17 @@
       }
       refused.remove(l.part());
       if (s == null) {
-        s = new Steward(ports, cancellations, l.part(), l.epoch(), ports.now());
+        s = new ShardOwner(ports, cancellations, l.part(), l.epoch(), ports.now());
         s.catalog(catalog);
         s.lentAll(lent.values());
         s.load();
-        stewards.put(l.part(), s);
+        shardOwners.put(l.part(), s);
       }
       s.lease(l.epoch(), until);
     }
-    long owned = stewards.values().stream().filter(s -> !s.relinquished()).count();
+    long owned = shardOwners.values().stream().filter(s -> !s.relinquished()).count();
     ports.share((double) owned / ports.tuning.parts(), election.holding());
-    for (Steward s : stewards.values()) {
+    for (ShardOwner s : shardOwners.values()) {
       if (a.whole()) {
         s.lentAll(lent.values());
       } else {
@@ -642,9 +644,9 @@
         a.off().forEach(s::notLent);
       }
       s.gone(a.gone());
-      s.renting.blocked(a.blocked());
+      s.autoscaler.blocked(a.blocked());
     }
-    if (news && stewards.values().stream().anyMatch(s -> !s.renting.wants().isEmpty())) {
+    if (news && shardOwners.values().stream().anyMatch(s -> !s.autoscaler.wants().isEmpty())) {
       // The leader takes wants only from an owner that knows the last lending: say so at once.
       beatAt = ports.now().plus(100);
     }
@@ -721,18 +723,18 @@
       return;
     }
     catalog = c;
-    desk.catalog(c);
+    userRequests.catalog(c);
     leader.catalog(c);
-    stewards.values().forEach(s -> s.catalog(c));
+    shardOwners.values().forEach(s -> s.catalog(c));
   }
 
   /** The epochs of the parts whose workers this process may command at a moment, for observers. */
   public Map<PartId, Epoch> commanded(Mono at) {
     Map<PartId, Epoch> m = new TreeMap<>();
-    stewards.forEach(
-        (part, steward) -> {
-          if (steward.validAt(at)) {
-            m.put(part, steward.epoch());
+    shardOwners.forEach(
+        (part, shardOwner) -> {
+          if (shardOwner.validAt(at)) {
+            m.put(part, shardOwner.epoch());
           }
         });
     return m;
@@ -741,7 +743,7 @@
   /** The epochs of the parts owned here, for observers. */
   public Map<PartId, Epoch> owned() {
     Map<PartId, Epoch> m = new TreeMap<>();
-    stewards.forEach((p, s) -> m.put(p, s.epoch()));
+    shardOwners.forEach((p, s) -> m.put(p, s.epoch()));
     return m;
   }
 }
--- a/src/main/java/shorecrank/coordination/Ordering.java
+++ b/src/main/java/shorecrank/coordination/SchedulingQueue.java
@@ -23,7 +23,7 @@
  * class has, and for more by the number of its class's aims and by its priority. The rest follows
  * by priority and least work left.
  */
-final class Ordering {
+final class SchedulingQueue {
   /** A job without a single task after this long goes first, whatever its size. */
   static final double BEGIN_S = 120;
 
@@ -69,7 +69,7 @@
   /** How fast the fleet's machines fetch images, as last seen. */
   private double fetchGbPerS = 0.2;
 
-  Ordering(Ports ports, Dependencies dependencies) {
+  SchedulingQueue(Ports ports, Dependencies dependencies) {
     this.ports = ports;
     this.dependencies = dependencies;
     for (Objective o : ports.config.objectives()) {
--- a/src/main/java/shorecrank/coordination/Steward.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -47,7 +47,7 @@
 import shorecrank.protocol.WorkerMessages.Why;
 
 /** The owner of one part: its jobs, the machines lent to it, and every write to its records. */
-final class Steward {
+final class ShardOwner {
   private static final int CALL_MS = 2000;
   private static final int MAX_IN_FLIGHT = 3;
   private static final int TXN_BYTES = 56 * 1024;
@@ -133,28 +133,28 @@
 
   private Mono writeRetryAt = Mono.NEVER;
   private JobId cursor;
-  final Earshot earshot;
-  final Renting renting;
-  private final Ordering ordering;
+  final WorkerLiveness liveness;
+  final Autoscaler autoscaler;
+  private final SchedulingQueue queue;
   private final Dependencies dependencies;
   private boolean closed;
 
-  private final Questions questions;
+  private final StatusQueries statusQueries;
   private final Set<Host> parked = new LinkedHashSet<>();
   private boolean kicked;
   private Mono readyAt = Mono.NEVER;
 
-  Steward(Ports ports, Cancellations cancellations, PartId part, Epoch epoch, Mono grantedAt) {
+  ShardOwner(Ports ports, Cancellations cancellations, PartId part, Epoch epoch, Mono grantedAt) {
     this.ports = ports;
     this.cancellations = cancellations;
     this.part = part;
     this.epoch = epoch;
     this.firstEpoch = epoch;
-    this.earshot = new Earshot(ports, hosts.values(), grantedAt);
-    this.renting = new Renting(ports, this);
+    this.liveness = new WorkerLiveness(ports, hosts.values(), grantedAt);
+    this.autoscaler = new Autoscaler(ports, this);
     this.dependencies = new Dependencies(ports, jobs, cancellations, this::cancelWithOthers);
-    this.ordering = new Ordering(ports, dependencies);
-    this.questions = new Questions(ports, jobs, dependencies);
+    this.queue = new SchedulingQueue(ports, dependencies);
+    this.statusQueries = new StatusQueries(ports, jobs, dependencies);
     ports.info("part %s: taken over at epoch %s", part, epoch);
     ports.count("part.takeover");
   }
@@ -295,7 +295,7 @@
   void end(String why) {
     closed = true;
     answerParked(true);
-    questions.close();
+    statusQueries.close();
     ports.info("part %s: epoch %s given up: %s", part, epoch, why);
     ports.count("part.given_up");
   }
@@ -323,8 +323,8 @@
       if (ports.now().since(lookedAt) >= LOOK_MS) {
         lookedAt = ports.now();
         verdicts();
-        Usage.tell(ports, hosts.values(), jobs.values(), earshot);
-        hearsFew = earshot.hearsFew();
+        Usage.tell(ports, hosts.values(), jobs.values(), liveness);
+        hearsFew = liveness.hearsFew();
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
       }
@@ -336,7 +336,7 @@
       }
     }
     answerParked(false);
-    questions.answer();
+    statusQueries.answer();
   }
 
   private void startOver() {
@@ -479,7 +479,7 @@
       detach(t);
     }
     jobs.remove(j.id());
-    ordering.forget(j);
+    queue.forget(j);
     dependencies.forget(j);
   }
 
@@ -621,7 +621,7 @@
       return 0;
     }
     if (j.dirty == Urgency.NOW) {
-      return !j.claimed && j.live.isEmpty() ? 3 : ordering.waitsForStart(j.spec) ? 1 : 2;
+      return !j.claimed && j.live.isEmpty() ? 3 : queue.waitsForStart(j.spec) ? 1 : 2;
     }
     return 4;
   }
@@ -809,7 +809,7 @@
     j.claimed = true;
     j.alone = false;
     if (w.last) {
-      questions.ended(j.id(), w.standing);
+      statusQueries.ended(j.id(), w.standing);
       forget(j);
       dependencies.ended(j.id(), w.standing.phase());
       ports.info("job %s %s at epoch %s", j.id(), j.aborted ? "withdrawn" : "done", epoch);
@@ -1048,7 +1048,7 @@
   private void verdicts() {
     ports.count("round.looks", hosts.size());
     for (Host h : hosts.values()) {
-      if (!h.empty() && earshot.leaseOut(h)) {
+      if (!h.empty() && liveness.leaseOut(h)) {
         loseAll(h, "its worker's lease ran out");
         h.clearGhosts();
         h.known = false;
@@ -1459,7 +1459,7 @@
     Mono now = ports.now();
     return h.lent
         && h.type() != null
-        && earshot.fresh(h)
+        && liveness.fresh(h)
         && !h.recall
         && !h.noticed
         && !h.deaf
@@ -1509,9 +1509,9 @@
     for (Job j : jobs.values()) {
       busy += j.live.size() * j.spec.cpus() * j.spec.estimateS() / 2;
     }
-    ordering.owe(jobs.values());
-    dependencies.refresh(ordering::ownDues, ordering::spanMs);
-    return ordering.sort(
+    queue.owe(jobs.values());
+    dependencies.refresh(queue::ownDues, queue::spanMs);
+    return queue.sort(
         waiting, fetch / Math.max(1, cpus), cpus, soon, soonS / Math.max(1, soon), busy);
   }
 
@@ -1659,8 +1659,8 @@
 
   private void place(Job j, List<Host> room) {
     int wanted = within(limitLeft(j.spec.team()), j);
-    if (Ordering.overdue(j, ports.wallMs())) {
-      wanted = Math.min(wanted, 1 + j.spec.tasks() / Ordering.BEGIN_SHARE);
+    if (SchedulingQueue.overdue(j, ports.wallMs())) {
+      wanted = Math.min(wanted, 1 + j.spec.tasks() / SchedulingQueue.BEGIN_SHARE);
     }
     if (j.backoff > 0) {
       wanted = Math.min(wanted, 1);
@@ -1751,10 +1751,10 @@
    * leaves time for the command and the image, room may yet come free by itself.
    */
   private boolean preempts(Job j) {
-    if (ordering.hasAims(j.spec) && !ordering.waitsForStart(j.spec)) {
+    if (queue.hasAims(j.spec) && !queue.waitsForStart(j.spec)) {
       return false;
     }
-    if (!ordering.hasAims(j.spec)) {
+    if (!queue.hasAims(j.spec)) {
       return j.priority.compareTo(JobSpec.Priority.URGENT) <= 0;
     }
     double aim = Double.MAX_VALUE;
@@ -1872,8 +1872,8 @@
   // ---- for users -------------------------------------------------------------------------------
 
   /** Tells where a job stands, if this owner can. */
-  void ask(JobId id, Questions.OnStanding then) {
-    questions.ask(id, ready() && valid(), then);
+  void ask(JobId id, StatusQueries.OnStanding then) {
+    statusQueries.ask(id, ready() && valid(), then);
   }
 
   // ---- for the leader ------------------------------------------------------------------------
@@ -1883,9 +1883,9 @@
     List<HostName> spare = new ArrayList<>();
     List<HostName> back = new ArrayList<>();
     if (ready() && valid()) {
-      renting.review(retire);
+      autoscaler.review(retire);
       for (Host h : hosts.values()) {
-        if (h.recall && h.empty() && h.listedTasks == 0 && earshot.fresh(h)) {
+        if (h.recall && h.empty() && h.listedTasks == 0 && liveness.fresh(h)) {
           back.add(h.name);
         } else if ((usable(h) || h.draining)
             && h.empty()
@@ -1896,6 +1896,6 @@
     }
     boolean queued = !ready() || jobs.values().stream().anyMatch(j -> j.queued() > 0);
     return new PartBeat(
-        part, epoch, fenced, queued, earshot.hearing(), renting.wants(), retire, spare, back);
+        part, epoch, fenced, queued, liveness.hearing(), autoscaler.wants(), retire, spare, back);
   }
 }
--- a/src/main/java/shorecrank/coordination/Questions.java
+++ b/src/main/java/shorecrank/coordination/StatusQueries.java
@@ -21,7 +21,7 @@
  * question unchanged, so no answer is older than one given elsewhere, and a burst of questions
  * costs the state service few requests.
  */
-final class Questions {
+final class StatusQueries {
   private static final int COMPARE_MS = 1000;
 
   /** Takes what the store holds of a job now; null if this owner can't tell. */
@@ -40,7 +40,7 @@
   private final Map<JobId, List<OnStanding>> asked = new LinkedHashMap<>();
   private boolean asking;
 
-  Questions(Ports ports, Map<JobId, Job> jobs, Dependencies dependencies) {
+  StatusQueries(Ports ports, Map<JobId, Job> jobs, Dependencies dependencies) {
     this.ports = ports;
     this.dependencies = dependencies;
     this.jobs = jobs;
--- a/src/main/java/shorecrank/coordination/Usage.java
+++ b/src/main/java/shorecrank/coordination/Usage.java
@@ -8,14 +8,15 @@
 final class Usage {
   private Usage() {}
 
-  static void tell(Ports ports, Collection<Host> hosts, Collection<Job> jobs, Earshot earshot) {
+  static void tell(
+      Ports ports, Collection<Host> hosts, Collection<Job> jobs, WorkerLiveness liveness) {
     double there = 0;
     double commanded = 0;
     double pulling = 0;
     double running = 0;
     double taken = 0;
     for (Host h : hosts) {
-      if (h.type() == null || !earshot.fresh(h)) {
+      if (h.type() == null || !liveness.fresh(h)) {
         continue;
       }
       there += h.type().cpus();
--- a/src/main/java/shorecrank/coordination/UserDesk.java
+++ b/src/main/java/shorecrank/coordination/UserRequestHandler.java
@@ -32,7 +32,7 @@
  * The users' requests. Any controller serves them from the store alone, so that no answer is older
  * than one already given; only what can never change again is answered from memory.
  */
-final class UserDesk {
+final class UserRequestHandler {
   private static final int CALL_MS = 1500;
   private static final int CANCEL_TRIES = 6;
   private static final int CREATE_TRIES = 2;
@@ -67,10 +67,10 @@
 
   /** Asks the owner of a part, wherever it is. */
   interface Owners {
-    void ask(PartId part, JobId id, Questions.OnStanding then);
+    void ask(PartId part, JobId id, StatusQueries.OnStanding then);
   }
 
-  UserDesk(Ports ports, Cancellations cancellations, Owners owners, Relay relay) {
+  UserRequestHandler(Ports ports, Cancellations cancellations, Owners owners, Relay relay) {
     this.ports = ports;
     this.cancellations = cancellations;
     this.relay = relay;
--- a/src/main/java/shorecrank/coordination/Earshot.java
+++ b/src/main/java/shorecrank/coordination/WorkerLiveness.java
@@ -9,14 +9,14 @@
 import shorecrank.protocol.PeerMessages.Hearing;
 
 /** Which of a part's machines its owner hears, and what their silence proves. */
-final class Earshot {
+final class WorkerLiveness {
   private final Ports ports;
   private final Collection<Host> hosts;
 
   /** When the part was granted: before it nobody could report here. */
   private final Mono grantedAt;
 
-  Earshot(Ports ports, Collection<Host> hosts, Mono grantedAt) {
+  WorkerLiveness(Ports ports, Collection<Host> hosts, Mono grantedAt) {
     this.ports = ports;
     this.hosts = hosts;
     this.grantedAt = grantedAt;
--- a/src/test/java/shorecrank/sim/MixedVersionsTest.java
+++ b/src/test/java/shorecrank/sim/MixedVersionsTest.java
@@ -103,19 +103,27 @@
   private void usersPassedOn() {
     await("the old one back", () -> node(2).up);
     world.play(2000);
-    world.cut(node(2), "state", 8000, Mode.REFUSE);
-    serveFor(9000);
+    refuseState(node(2));
     assertTrue(node(2).metric("user.relayed") > 0, "the old one passed nothing on");
     world.mayLead(node(2));
     node(0).crash(9000);
     await("an old leader again", () -> leads(2));
     await("the new leader's return", () -> node(0).up);
     world.play(2000);
-    world.cut(node(0), "state", 8000, Mode.REFUSE);
-    serveFor(9000);
+    refuseState(node(0));
     assertTrue(node(0).metric("user.relayed") > 0, "the new one passed nothing on");
   }
 
+  /** Its users go on asking it, and it knows after a while that it must pass them on. */
+  private void refuseState(ProcessNode node) {
+    world.cut(node, "state", 8000, Mode.REFUSE);
+    for (int i = 0; i < 16; i++) {
+      serveFor(500);
+      world.resubmitAt(node, "wk-1");
+    }
+    serveFor(1000);
+  }
+
   private void outage() {
     world.checker.trouble(world.sim.now + 12_000);
     world.store.outage(12_000);
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -882,6 +882,11 @@
     submitTry(id, spec(id, plans.get(id)), sim.now + 60_000, false);
   }
 
+  /** Asks again at one controller. */
+  void resubmitAt(Node node, String id) {
+    userCall(node, "submit", id, "POST", "/api/jobs", spec(id, plans.get(id)), 5000, IGNORE);
+  }
+
   private void submitTry(String id, JsonNode body, long until, boolean polls) {
     userCall(
         "submit",
