--- a/src/test/java/shorecrank/sim/MixedVersionsTest.java
+++ b/src/test/java/shorecrank/sim/MixedVersionsTest.java
@@ -119,7 +119,7 @@
     world.cut(node, "state", 8000, Mode.REFUSE);
     for (int i = 0; i < 16; i++) {
       serveFor(500);
-      world.resubmitAt(node, "wk-1");
+      world.users.resubmitAt(node, "wk-1");
     }
     serveFor(1000);
   }
@@ -155,15 +155,15 @@
   private void pipelineUnderLowerLimits() {
     world.lowerLimits();
     JobPlan step = plan(4, 1.5);
-    world.submit("wk-9001", step);
+    world.users.submit("wk-9001", step);
     JobPlan next = plan(3, 1);
     next.needs = List.of("wk-9001");
     world.play(1500);
-    world.submit("wk-9002", next);
+    world.users.submit("wk-9002", next);
     JobPlan last = plan(2, 1);
     last.needs = List.of("wk-9002", "wk-1");
     world.play(1500);
-    world.submit("wk-9003", last);
+    world.users.submit("wk-9003", last);
     serveFor(3000);
   }
 
@@ -196,7 +196,7 @@
     world.cloud.capacity = 6;
     world.nextValueKb = 2;
     world.nextTxnOps = 5;
-    world.closeLooks(600_000);
+    world.users.closeLooks(600_000);
   }
 
   private boolean submitting = true;
@@ -210,9 +210,9 @@
     String id = "wk-" + number;
     JobPlan plan = plan(1 + number % 6, 1 + number % 4);
     plan.team = number % 3 == 0 ? "u" : "t";
-    world.submit(id, plan);
+    world.users.submit(id, plan);
     if (number % 5 == 0) {
-      world.sim.after(CANCEL_AFTER_MS, () -> world.cancel(id));
+      world.sim.after(CANCEL_AFTER_MS, () -> world.users.cancel(id));
     }
     world.sim.after(ms, () -> submitEvery(ms));
   }
--- a/src/test/java/shorecrank/sim/ProcessWorld.java
+++ b/src/test/java/shorecrank/sim/ProcessWorld.java
@@ -204,6 +204,8 @@
     super(seed, TuningFile.defaults());
     this.first = first;
     this.directory = directory;
+    // Also when the test is ended from outside, no controller is left behind.
+    Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
   }
 
   void mayLead(Node node) {
@@ -320,14 +322,18 @@
     }
   }
 
-  @Override
-  public void close() {
+  private void endProcesses() {
     for (Node n : nodes) {
       Process process = ((ProcessNode) n).process;
       if (process != null) {
         process.destroyForcibly();
       }
     }
+  }
+
+  @Override
+  public void close() {
+    endProcesses();
     servers.forEach(s -> s.stop(0));
     threads.shutdownNow();
   }
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -286,7 +286,7 @@
 
   private void act(World w, String[] a, String line) {
     switch (a[0]) {
-      case "submit" -> w.submit(a[1], plan(options(a, 2)));
+      case "submit" -> w.users.submit(a[1], plan(options(a, 2)));
       case "burst" -> {
         // burst FIRST EVERY UNTIL CLASS options: a job every so many seconds.
         Map<String, String> o = options(a, 5);
@@ -295,12 +295,12 @@
         int n = Integer.parseInt(a[1]);
         for (long at = w.sim.now; at < ms(a[3]); at += every) {
           String id = "wk-" + n++;
-          w.sim.at(at, () -> w.submit(id, plan(o)));
+          w.sim.at(at, () -> w.users.submit(id, plan(o)));
         }
       }
-      case "resubmit" -> w.resubmit(a[1]);
-      case "ask" -> w.ask(a[1]);
-      case "cancel" -> w.cancel(a[1]);
+      case "resubmit" -> w.users.resubmit(a[1]);
+      case "ask" -> w.users.ask(a[1]);
+      case "cancel" -> w.users.cancel(a[1]);
       case "crash" -> who(w, a[1]).forEach(n -> n.crash(ms(a.length > 2 ? a[2] : "4")));
       case "freeze" -> {
         w.checker.trouble(w.sim.now + ms(a[2]));
@@ -333,15 +333,15 @@
           w.lateWrites(Double.parseDouble(a[1]), ms(a[2]), a.length > 3 && a[3].equals("at-once"));
       case "lower-limits" -> w.lowerLimits();
       case "slow" -> w.slow(Double.parseDouble(a[1]), ms(a[2]));
-      case "cancel-now" -> w.cancelNow(Integer.parseInt(a[1]), a.length > 2 ? ms(a[2]) : 0);
+      case "cancel-now" -> w.users.cancelNow(Integer.parseInt(a[1]), a.length > 2 ? ms(a[2]) : 0);
       case "cancel-each" -> {
         // cancel-each CLASS AFTER FOR: each job of the class is called off so long after it came.
-        w.cancelEach(a[1], ms(a[2]));
-        w.sim.after(ms(a[3]), () -> w.cancelEach("", 0));
+        w.users.cancelEach(a[1], ms(a[2]));
+        w.sim.after(ms(a[3]), () -> w.users.cancelEach("", 0));
       }
-      case "cancel-at-end" -> w.cancelAtEnd(Double.parseDouble(a[1]), ms(a[2]));
-      case "close-looks" -> w.closeLooks(ms(a[1]));
-      case "odd-requests" -> w.oddRequests(ms(a[1]));
+      case "cancel-at-end" -> w.users.cancelAtEnd(Double.parseDouble(a[1]), ms(a[2]));
+      case "close-looks" -> w.users.closeLooks(ms(a[1]));
+      case "odd-requests" -> w.users.oddRequests(ms(a[1]));
       case "unheard" -> w.unheard.add(a[1]);
       case "sick" -> machines(w, a[1]).forEach(x -> x.sick = true);
       case "take" -> machines(w, a[1]).forEach(x -> w.cloud.take(x.name));
@@ -397,10 +397,11 @@
                       j ->
                           w.checker.told(j).equals("done")
                               || w.checker.told(j).equals("withdrawn")
-                              || (w.checker.told(j).equals("unknown") && w.gaveUp.contains(j)));
+                              || (w.checker.told(j).equals("unknown")
+                                  && w.users.gaveUp.contains(j)));
           case "accepted" ->
               Arrays.stream(a[2].split(",")).noneMatch(j -> w.checker.told(j).equals("unknown"));
-          case "status" -> w.statuses.getOrDefault(a[2], 0) == Integer.parseInt(a[3]);
+          case "status" -> w.users.statuses.getOrDefault(a[2], 0) == Integer.parseInt(a[3]);
           case "epoch" -> w.store.peek("epoch").path("v").asLong() >= Long.parseLong(a[2]);
           case "epoch-below" -> w.store.peek("epoch").path("v").asLong() < Long.parseLong(a[2]);
           case "kills-below" -> w.leaseKills < Integer.parseInt(a[2]);
--- a/src/test/java/shorecrank/sim/Worker.java
+++ b/src/test/java/shorecrank/sim/Worker.java
@@ -140,7 +140,7 @@
           exit(t, "error");
         } else {
           results.add(t.piece);
-          world.result(t.piece);
+          world.users.result(t.piece);
           exit(t, "done");
         }
       } else {
