Messages between controllers that make no sense are refused whole, counted, logged at a bounded rate

A missing shard or epoch was read as 0, an owner without a name taken in; each malformed message or report was a log line. Versions send nothing that is refused: an owner's refused epoch may be any number.

--- a/src/main/java/shorecrank/coordination/Cancellations.java
+++ b/src/main/java/shorecrank/coordination/Cancellations.java
@@ -160,6 +160,9 @@
           m.asking = false;
           Confirmed c = status == 200 ? PeerMessages.readConfirmed(body) : null;
           if (c == null) {
+            if (status == 200) {
+              ports.refused("peer.malformed", "malformed cancellations of " + label + " refused");
+            }
             return;
           }
           c.ids().forEach(this::told);
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -292,8 +292,7 @@
   }
 
   private void malformed(Input.Request r, String what) {
-    ports.info("malformed %s refused", what);
-    ports.count("peer.malformed");
+    ports.refused("peer.malformed", "malformed " + what + " of another controller refused");
     ports.reply(r.reply(), 400, Json.error("malformed " + what));
   }
 
@@ -411,8 +410,7 @@
   private void report(Input.Request r) {
     Report w = WorkerMessages.read(Json.parse(r.body()));
     if (w == null) {
-      ports.info("malformed report refused");
-      ports.count("report.malformed");
+      ports.refused("report.malformed", "malformed report refused");
       ports.reply(r.reply(), 400, Json.error("malformed report"));
       return;
     }
@@ -525,6 +523,9 @@
         (status, body) -> {
           beating = false;
           BeatAnswer a = status == 200 ? PeerMessages.readAnswer(body) : null;
+          if (status == 200 && a == null) {
+            ports.refused("peer.malformed", "malformed answer of the leader refused");
+          }
           if (a != null) {
             answered(a, now);
           } else {
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import shorecrank.bookkeeping.Budget;
 import shorecrank.config.NodeConfig;
@@ -28,8 +30,8 @@
   /** For timers that fire late, here and at the worker. */
   private static final int EVIDENCE_MARGIN_MS = 500;
 
-  /** What can't be read is logged no more often. */
-  private static final int UNREADABLE_PAUSE_MS = 5000;
+  /** What is refused for the same reason is logged no more often. */
+  private static final int REFUSAL_PAUSE_MS = 5000;
 
   final NodeConfig config;
   final Tuning tuning;
@@ -50,7 +52,7 @@
   private Mono stateOkAt = Mono.NEVER;
   private Mono stateOkSince = Mono.NEVER;
   private Mono peerHeardAt = Mono.NEVER;
-  private Mono unreadableToldAt = Mono.NEVER;
+  private final Map<String, Mono> refusalToldAt = new HashMap<>();
 
   Ports(NodeConfig config, Tuning tuning, WriterId writer) {
     this.config = config;
@@ -219,10 +221,15 @@
 
   /** A key of the state service holds nothing that this version reads; it is left alone. */
   void unreadable(String key) {
-    count("state.unreadable");
-    if (now.since(unreadableToldAt) >= UNREADABLE_PAUSE_MS) {
-      unreadableToldAt = now;
-      error("the value of %s makes no sense, left alone", key);
+    refused("state.unreadable", "the value of " + key + " makes no sense, left alone");
+  }
+
+  /** Something from outside was refused: counted, and logged at a bounded rate. */
+  void refused(String metric, String what) {
+    count(metric);
+    if (now.since(refusalToldAt.getOrDefault(metric, Mono.NEVER)) >= REFUSAL_PAUSE_MS) {
+      refusalToldAt.put(metric, now);
+      error("%s", what);
     }
   }
 
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -14,6 +14,7 @@
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
@@ -32,6 +33,10 @@
   /** Asks which cancellations the other has confirmed to users. */
   public static final String CONFIRMED = "/peer/confirmed";
 
+  private static final int MAX_PARTS = 1_000_000;
+  private static final int MAX_COUNT = Integer.MAX_VALUE;
+  private static final long MAX_LEASE_MS = 86_400_000;
+
   /** So many confirmed cancellations at most are told of in one message. */
   public static final int MAX_CONFIRMED = 2000;
 
@@ -132,8 +137,25 @@
     return n;
   }
 
+  /** A message holds something that no version sends. */
+  private static final class Malformed extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    Malformed(String message) {
+      super(message, null, false, false);
+    }
+  }
+
   /** Null if malformed. */
   public static Beat readBeat(JsonNode n) {
+    try {
+      return beat(n);
+    } catch (Malformed e) {
+      return null;
+    }
+  }
+
+  private static Beat beat(JsonNode n) {
     String from = Json.text(n.path("from"));
     String writer = Json.text(n.path("writer"));
     if (from.isEmpty() || writer.isEmpty()) {
@@ -142,16 +164,21 @@
     List<PartBeat> parts = new ArrayList<>();
     for (JsonNode p : n.path("parts")) {
       List<Want> wants = new ArrayList<>();
-      p.path("wants").forEach(w -> wants.add(new Want(offer(w), w.path("count").asInt())));
+      p.path("wants")
+          .forEach(w -> wants.add(new Want(offer(w), (int) count(w, "count", MAX_COUNT))));
       List<String> deafTo = new ArrayList<>();
       p.path("deafTo").forEach(z -> deafTo.add(z.asText()));
       parts.add(
           new PartBeat(
-              new PartId(p.path("part").asInt()),
-              new Epoch(p.path("epoch").asLong()),
-              new Epoch(p.path("fenced").asLong()),
+              part(p),
+              epoch(p, "epoch"),
+              // What a record held that refused the owner, whatever it was.
+              new Epoch(count(p, "fenced", Long.MAX_VALUE)),
               p.path("queued").asBoolean(),
-              new Hearing(p.path("expected").asInt(), p.path("unheard").asInt(), deafTo),
+              new Hearing(
+                  (int) count(p, "expected", MAX_COUNT),
+                  (int) count(p, "unheard", MAX_COUNT),
+                  deafTo),
               wants,
               names(p.path("retire")),
               names(p.path("spare")),
@@ -202,30 +229,27 @@
 
   /** Null if malformed. */
   public static BeatAnswer readAnswer(JsonNode n) {
-    if (!n.path("term").isIntegralNumber()) {
+    try {
+      return answer(n);
+    } catch (Malformed e) {
       return null;
     }
+  }
+
+  private static BeatAnswer answer(JsonNode n) {
+    long term = count(n, "term", Long.MAX_VALUE);
     List<Lease> leases = new ArrayList<>();
     for (JsonNode l : n.path("leases")) {
-      leases.add(
-          new Lease(
-              new PartId(l.path("part").asInt()),
-              new Epoch(l.path("epoch").asLong()),
-              l.path("ttlMs").asLong()));
+      leases.add(new Lease(part(l), epoch(l, "epoch"), count(l, "ttlMs", MAX_LEASE_MS)));
     }
     List<Lent> lent = new ArrayList<>();
     for (JsonNode h : n.path("lent")) {
-      lent.add(
-          new Lent(
-              host(h),
-              new PartId(h.path("part").asInt()),
-              h.path("age").asLong(),
-              h.path("recall").asBoolean()));
+      lent.add(new Lent(host(h), part(h), h.path("age").asLong(), h.path("recall").asBoolean()));
     }
     List<Blocked> blocked = new ArrayList<>();
     n.path("blocked").forEach(b -> blocked.add(new Blocked(offer(b), b.path("ms").asLong())));
     return new BeatAnswer(
-        n.path("term").asLong(),
+        term,
         n.path("othersOk").asBoolean(),
         leases,
         owners(n.path("owners")),
@@ -274,7 +298,11 @@
       }
       l.add(new JobId(id.textValue()));
     }
-    return new Confirmed(span, l, owners(n.path("owners")));
+    try {
+      return new Confirmed(span, l, owners(n.path("owners")));
+    } catch (Malformed e) {
+      return null;
+    }
   }
 
   /** A user's request as it came. */
@@ -357,11 +385,7 @@
   private static List<OwnerInfo> owners(JsonNode a) {
     List<OwnerInfo> owners = new ArrayList<>();
     for (JsonNode o : a) {
-      owners.add(
-          new OwnerInfo(
-              new PartId(o.path("part").asInt()),
-              new NodeLabel(o.path("label").asText()),
-              new Epoch(o.path("epoch").asLong())));
+      owners.add(new OwnerInfo(part(o), new NodeLabel(name(o.path("label"))), epoch(o, "epoch")));
     }
     return owners;
   }
@@ -372,9 +396,9 @@
 
   private static HostInfo host(JsonNode n) {
     return new HostInfo(
-        new HostName(n.path("h").asText()),
-        n.path("type").asText(),
-        n.path("zone").asText(),
+        new HostName(name(n.path("h"))),
+        Json.text(n.path("type")),
+        Json.text(n.path("zone")),
         n.path("spot").asBoolean());
   }
 
@@ -383,7 +407,8 @@
   }
 
   private static Offer offer(JsonNode n) {
-    return new Offer(n.path("type").asText(), n.path("zone").asText(), n.path("spot").asBoolean());
+    return new Offer(
+        Json.text(n.path("type")), Json.text(n.path("zone")), n.path("spot").asBoolean());
   }
 
   private static void names(ArrayNode a, Collection<HostName> l) {
@@ -392,7 +417,31 @@
 
   private static List<HostName> names(JsonNode a) {
     List<HostName> l = new ArrayList<>();
-    a.forEach(h -> l.add(new HostName(h.asText())));
+    a.forEach(h -> l.add(new HostName(name(h))));
     return l;
   }
+
+  private static PartId part(JsonNode n) {
+    return new PartId((int) count(n, "part", MAX_PARTS));
+  }
+
+  private static Epoch epoch(JsonNode n, String field) {
+    return new Epoch(count(n, field, Token.MAX_EPOCH));
+  }
+
+  private static long count(JsonNode n, String field, long most) {
+    long x = Json.count(n.path(field));
+    if (x < 0 || x > most) {
+      throw new Malformed(field);
+    }
+    return x;
+  }
+
+  private static String name(JsonNode n) {
+    String text = Json.text(n);
+    if (text.isEmpty()) {
+      throw new Malformed("name");
+    }
+    return text;
+  }
 }
--- a/src/test/java/shorecrank/bookkeeping/ProductionFormsTest.java
+++ b/src/test/java/shorecrank/bookkeeping/ProductionFormsTest.java
@@ -7,7 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.IntNode;
+import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -148,6 +151,43 @@
     }
   }
 
+  /** A message with a number or name missing or out of range is refused as a whole. */
+  @Test
+  void damagedMessages() throws Exception {
+    ObjectNode beat =
+        of(PRODUCTION, "ask /peer/beat").stream()
+            .filter(n -> !n.path("parts").isEmpty())
+            .findFirst()
+            .orElseThrow()
+            .deepCopy();
+    for (String field : List.of("part", "epoch", "fenced", "expected", "unheard")) {
+      for (JsonNode value :
+          List.of(IntNode.valueOf(-1), TextNode.valueOf("x"), NullNode.instance)) {
+        ObjectNode n = beat.deepCopy();
+        ((ObjectNode) n.path("parts").path(0)).set(field, value);
+        assertNull(PeerMessages.readBeat(n), field + " " + value);
+      }
+    }
+    ObjectNode answer =
+        of(PRODUCTION, "answer /peer/beat").stream()
+            .filter(n -> !n.path("leases").isEmpty())
+            .findFirst()
+            .orElseThrow()
+            .deepCopy();
+    for (String list : List.of("leases", "owners")) {
+      for (String field : List.of("part", "epoch")) {
+        ObjectNode n = answer.deepCopy();
+        ((ObjectNode) n.path(list).path(0)).remove(field);
+        assertNull(PeerMessages.readAnswer(n), list + " " + field);
+        ((ObjectNode) n.path(list).path(0)).put(field, Long.MAX_VALUE);
+        assertNull(PeerMessages.readAnswer(n), list + " " + field);
+      }
+    }
+    ObjectNode confirmed = of(PIPELINES, "answer /peer/confirmed").get(0).deepCopy();
+    confirmed.putArray("owners").addObject().put("part", 0).put("label", "").put("epoch", 9);
+    assertNull(PeerMessages.readConfirmed(confirmed));
+  }
+
   /** Since b9fa1f3 the answer also names owners; what it held before is the same. */
   @Test
   void confirmedCancellations() throws Exception {
