--- a/src/main/java/shorecrank/coordination/Autoscaler.java
+++ b/src/main/java/shorecrank/coordination/Autoscaler.java
@@ -11,10 +11,10 @@
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.HostName;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.PeerMessages.Blocked;
-import shorecrank.protocol.PeerMessages.Want;
+import shorecrank.protocol.PeerMessages.CapacityRequest;
 
 /** Which machines a part asks the leader to rent and to return. */
 final class Autoscaler {
@@ -40,15 +40,15 @@
 
   private final Ports ports;
   private final ShardOwner owner;
-  private final Map<Offer, Mono> blocked = new HashMap<>();
+  private final Map<Offer, MonotonicTime> blocked = new HashMap<>();
 
   /** When a kind was last known to be used up. */
-  private final Map<Offer, Mono> refusedAt = new HashMap<>();
+  private final Map<Offer, MonotonicTime> refusedAt = new HashMap<>();
 
   /** When a third of the fleet, and when half of a zone, was last found silent. */
-  private Mono manySilentAt = Mono.NEVER;
+  private MonotonicTime manySilentAt = MonotonicTime.NEVER;
 
-  private final Map<String, Mono> zoneSilentAt = new HashMap<>();
+  private final Map<String, MonotonicTime> zoneSilentAt = new HashMap<>();
 
   /** Falling peaks of what was needed lately, the highest first. */
   private final ArrayDeque<Peak> peaks = new ArrayDeque<>();
@@ -69,7 +69,7 @@
 
   /** Machines to be given back: broken, silent, or idle for a while. */
   void review(List<HostName> retire) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     double report = reportS() * 1000;
     double lease = ports.config.workers().leaseS() * 1000;
     Silence all = new Silence();
@@ -102,8 +102,10 @@
     for (Host h : owner.hosts.values()) {
       long quiet = owner.liveness.silentMs(h);
       // When it is over the last of them have a lease's time to find their way.
-      Mono cutAt =
-          h.info == null ? Mono.NEVER : zoneSilentAt.getOrDefault(h.info.zone(), Mono.NEVER);
+      MonotonicTime cutAt =
+          h.info == null
+              ? MonotonicTime.NEVER
+              : zoneSilentAt.getOrDefault(h.info.zone(), MonotonicTime.NEVER);
       boolean wait = now.since(manySilentAt) <= lease || now.since(cutAt) <= lease;
       double patience = wait ? patient : soon;
       if (!h.reported()) {
@@ -148,7 +150,7 @@
    * them back before anything is rented.
    */
   private void balance() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     double used = 0;
     double have = 0;
     List<Host> running = new ArrayList<>();
@@ -276,7 +278,7 @@
     }
   }
 
-  private record Peak(Mono at, double cpus) {}
+  private record Peak(MonotonicTime at, double cpus) {}
 
   /** Tasks that wait for machines, by job; what waits for its team's limit needs none. */
   private Map<Job, Integer> waiting() {
@@ -323,12 +325,12 @@
   }
 
   /** What the waiting work needs beyond what is there or on its way. */
-  List<Want> wants() {
-    List<Want> wants = new ArrayList<>();
+  List<CapacityRequest> wants() {
+    List<CapacityRequest> wants = new ArrayList<>();
     if (!owner.ready() || !owner.valid()) {
       return wants;
     }
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     Map<String, HostType> catalog = owner.catalog();
     Map<Job, Integer> waiting = waiting();
     if (waiting.isEmpty()) {
@@ -377,7 +379,7 @@
     double slack = waiting.keySet().stream().allMatch(this::served) ? 0.25 : 0;
     offers.removeIf(
         o -> {
-          Mono until = blocked.get(o);
+          MonotonicTime until = blocked.get(o);
           return until != null && ports.now().before(until);
         });
     for (int i = 0; i < offers.size() && deficit > 0; ) {
@@ -398,11 +400,11 @@
         double cover = Math.min(eligible, deficit / (alike - i));
         // A small overhang waits for room, but not for ever: a job no machine can serve needs one.
         int count = (int) Math.ceil(cover / t.cpus() - slack);
-        if (count > 0 && now.since(refusedAt.getOrDefault(o, Mono.NEVER)) < SCARCE_MS) {
+        if (count > 0 && now.since(refusedAt.getOrDefault(o, MonotonicTime.NEVER)) < SCARCE_MS) {
           // Most likely still used up: asked for again, but others are not put off for it.
-          wants.add(new Want(o, Math.min(count, PROBE)));
+          wants.add(new CapacityRequest(o, Math.min(count, PROBE)));
         } else if (count > 0) {
-          wants.add(new Want(o, count));
+          wants.add(new CapacityRequest(o, count));
           deficit -= count * t.cpus();
         }
       }
--- a/src/main/java/shorecrank/coordination/Cancellations.java
+++ b/src/main/java/shorecrank/coordination/Cancellations.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 import shorecrank.config.NodeConfig;
 import shorecrank.protocol.Ids.JobId;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.PeerMessages;
 import shorecrank.protocol.PeerMessages.Confirmed;
@@ -34,13 +34,17 @@
   /** So long the own confirmations are kept to be told; a grace is never that long. */
   private static final int KEEP_MS = 900_000;
 
-  private static final int MAX_KEPT = 10_000;
+  /** At least so many are kept, and as many as can be confirmed in {@link #KEPT_S}. */
+  private static final int MIN_KEPT = 10_000;
+
+  /** An owner that is without the state service for longer does not renew leases anyway. */
+  private static final int KEPT_S = 120;
 
   /** Steady clocks of two machines may drift apart by 0.05%. */
   private static final double DRIFT = 0.001;
 
   /** A span within which a controller has told all that it confirmed, by our clock. */
-  private record Span(Mono from, Mono to) {}
+  private record Span(MonotonicTime from, MonotonicTime to) {}
 
   private static final class Member {
     /** The latest span, and the one before it where they don't meet. */
@@ -48,7 +52,7 @@
 
     Span before;
     boolean asking;
-    Mono askAt = new Mono(0);
+    MonotonicTime askAt = new MonotonicTime(0);
   }
 
   private final Ports ports;
@@ -57,14 +61,19 @@
   private final Consumer<OwnerInfo> ownerSeen;
 
   /** What this controller has confirmed itself, and when first. */
-  private final Map<JobId, Mono> own = new LinkedHashMap<>();
+  private final Map<JobId, MonotonicTime> own = new LinkedHashMap<>();
 
   /** From when on {@link #own} is complete: this process's start, or what was dropped for room. */
-  private Mono ownFrom = Mono.NEVER;
+  private MonotonicTime ownFrom = MonotonicTime.NEVER;
 
   /** Jobs known to be cancelled, whoever told it. */
-  private final Cache<JobId, Boolean> known =
-      Caffeine.newBuilder().maximumSize(MAX_KEPT).executor(Runnable::run).build();
+  private final Cache<JobId, Boolean> known;
+
+  /** Each confirmation is a change in the state service, which takes so many a second. */
+  private final int mostKept;
+
+  /** So many jobs an answer of another controller may name: all within the evidence's age. */
+  private final int mostAsked;
 
   /**
    * @param learned takes each job that another controller reports as cancelled
@@ -74,6 +83,13 @@
     this.ports = ports;
     this.learned = learned;
     this.ownerSeen = ownerSeen;
+    double changesPerS = ports.config.state().writeRps();
+    this.mostKept = (int) Math.max(MIN_KEPT, changesPerS * KEPT_S);
+    this.mostAsked =
+        (int)
+            Math.max(
+                PeerMessages.DEFAULT_CONFIRMED, changesPerS * (ports.evidenceMs() / 1000.0 + 2));
+    this.known = Caffeine.newBuilder().maximumSize(mostKept).executor(Runnable::run).build();
     for (NodeConfig.Member m : ports.config.members()) {
       members.put(m.label(), new Member());
     }
@@ -93,7 +109,7 @@
     if (own.putIfAbsent(id, ports.now()) != null) {
       return;
     }
-    if (own.size() > MAX_KEPT) {
+    if (own.size() > mostKept) {
       dropOldest();
     }
     told(id);
@@ -110,13 +126,13 @@
    *
    * @param storeAsOf up to when the state service has shown them; NEVER if it has not
    */
-  Mono horizon(Mono storeAsOf) {
-    if (storeAsOf == Mono.NEVER) {
+  MonotonicTime horizon(MonotonicTime storeAsOf) {
+    if (storeAsOf == MonotonicTime.NEVER) {
       return storeAsOf;
     }
-    Mono all = ports.now();
+    MonotonicTime all = ports.now();
     for (Member m : members.values()) {
-      Mono one = storeAsOf;
+      MonotonicTime one = storeAsOf;
       one = later(one, m.before, storeAsOf);
       one = later(one, m.last, storeAsOf);
       all = one.before(all) ? one : all;
@@ -124,20 +140,20 @@
     return all;
   }
 
-  private static Mono later(Mono one, Span s, Mono from) {
+  private static MonotonicTime later(MonotonicTime one, Span s, MonotonicTime from) {
     return s != null && !from.before(s.from) && one.before(s.to) ? s.to : one;
   }
 
   /** Once a round; {@code blindSince} is what the owner here that knows least knows. */
-  void tick(Mono blindSince) {
-    Mono now = ports.now();
-    if (ownFrom == Mono.NEVER) {
+  void tick(MonotonicTime blindSince) {
+    MonotonicTime now = ports.now();
+    if (ownFrom == MonotonicTime.NEVER) {
       ownFrom = now;
     }
     while (!own.isEmpty() && now.since(own.values().iterator().next()) > KEEP_MS) {
       dropOldest();
     }
-    boolean blind = blindSince != Mono.NEVER && now.since(blindSince) > BLIND_MS;
+    boolean blind = blindSince != MonotonicTime.NEVER && now.since(blindSince) > BLIND_MS;
     members.forEach(
         (label, m) -> {
           if (blind && !m.asking && !now.before(m.askAt)) {
@@ -146,19 +162,19 @@
         });
   }
 
-  private void pull(NodeLabel label, Member m, Mono since) {
+  private void pull(NodeLabel label, Member m, MonotonicTime since) {
     m.asking = true;
-    Mono sent = ports.now();
+    MonotonicTime sent = ports.now();
     m.askAt = sent.plus(PULL_MS);
     ports.count("cancellations.asked");
     ports.peer(
         label,
         PeerMessages.CONFIRMED,
-        PeerMessages.confirmedWithin(sent.since(since) + 2000),
+        PeerMessages.confirmedWithin(sent.since(since) + 2000, mostAsked),
         CALL_MS,
         (status, body) -> {
           m.asking = false;
-          Confirmed c = status == 200 ? PeerMessages.readConfirmed(body) : null;
+          Confirmed c = status == 200 ? PeerMessages.readConfirmed(body, mostAsked) : null;
           if (c == null) {
             if (status == 200) {
               ports.refused("peer.malformed", "malformed cancellations of " + label + " refused");
@@ -169,7 +185,7 @@
           c.owners().forEach(ownerSeen);
           // What it says holds up to some moment after the question, and back from the answer at
           // the most.
-          Mono from = ports.now().plus(-(long) (c.spanMs() * (1 - DRIFT)) + 20);
+          MonotonicTime from = ports.now().plus(-(long) (c.spanMs() * (1 - DRIFT)) + 20);
           heard(m, new Span(from, sent));
         });
   }
@@ -199,13 +215,14 @@
    * What was confirmed here in so many milliseconds, for another controller. It asks because it
    * does not reach the state service, so it is also told who owns what.
    */
-  Confirmed answer(long within, Collection<OwnerInfo> owners) {
-    Mono now = ports.now();
-    long span = Math.min(within, ownFrom == Mono.NEVER ? 0 : now.since(ownFrom));
+  Confirmed answer(long within, int most, Collection<OwnerInfo> owners) {
+    MonotonicTime now = ports.now();
+    long span = Math.min(within, ownFrom == MonotonicTime.NEVER ? 0 : now.since(ownFrom));
     List<JobId> ids = new ArrayList<>();
-    List<Map.Entry<JobId, Mono>> all = new ArrayList<>(within > 0 ? own.entrySet() : List.of());
+    List<Map.Entry<JobId, MonotonicTime>> all =
+        new ArrayList<>(within > 0 ? own.entrySet() : List.of());
     for (int i = all.size() - 1; i >= 0 && now.since(all.get(i).getValue()) <= span; i--) {
-      if (ids.size() == PeerMessages.MAX_CONFIRMED) {
+      if (ids.size() == most) {
         span = now.since(all.get(i).getValue());
         break;
       }
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -14,19 +14,19 @@
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.JobId;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages;
-import shorecrank.protocol.PeerMessages.Beat;
-import shorecrank.protocol.PeerMessages.BeatAnswer;
+import shorecrank.protocol.PeerMessages.Heartbeat;
+import shorecrank.protocol.PeerMessages.HeartbeatAnswer;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.Lease;
-import shorecrank.protocol.PeerMessages.Lent;
+import shorecrank.protocol.PeerMessages.MachineAssignment;
 import shorecrank.protocol.PeerMessages.OwnerInfo;
-import shorecrank.protocol.PeerMessages.PartBeat;
+import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages;
@@ -46,7 +46,6 @@
 
   private static final int YOUNG_MS = 8000;
   private static final int SHELTER_MS = 2500;
-  private static final int MAX_SHELTERED = 2000;
   private static final int MAX_SEEN = 500;
 
   /** A worker that was sent to its owner and is not back after so long has found it. */
@@ -69,26 +68,26 @@
   /** The highest epoch under which this process has given a part up. */
   private final Map<PartId, Epoch> givenUp = new TreeMap<>();
 
-  private final Map<HostName, Lent> lent = new LinkedHashMap<>();
+  private final Map<HostName, MachineAssignment> lent = new LinkedHashMap<>();
   private final Map<HostName, HostInfo> seen = new LinkedHashMap<>();
-  private final Map<HostName, Mono> strays = new HashMap<>();
+  private final Map<HostName, MonotonicTime> strays = new HashMap<>();
   private final Map<PartId, Map<JobId, List<StatusQueries.OnStanding>>> statusQueries =
       new TreeMap<>();
   private long lendVersion = -1;
-  private Mono beatAt = new Mono(0);
-  private Mono answeredAt = Mono.NEVER;
-  private Mono startedAt = Mono.NEVER;
+  private MonotonicTime beatAt = new MonotonicTime(0);
+  private MonotonicTime answeredAt = MonotonicTime.NEVER;
+  private MonotonicTime startedAt = MonotonicTime.NEVER;
   private final List<Sheltered> sheltered = new ArrayList<>();
   private boolean ownersBusy;
-  private Mono ownersAt = new Mono(0);
+  private MonotonicTime ownersAt = new MonotonicTime(0);
   private boolean beating;
   private boolean othersStateOk;
-  private Mono othersAt = Mono.NEVER;
+  private MonotonicTime othersAt = MonotonicTime.NEVER;
   private Map<String, HostType> catalog = Map.of();
   private boolean catalogBusy;
   private boolean catalogStored;
-  private Mono catalogAt = new Mono(0);
-  private Mono probeAt = new Mono(0);
+  private MonotonicTime catalogAt = new MonotonicTime(0);
+  private MonotonicTime probeAt = new MonotonicTime(0);
 
   public Core(NodeConfig config, Tuning tuning, WriterId writer) {
     this.ports = new Ports(config, tuning, writer);
@@ -105,9 +104,9 @@
    * @param wallMs the time of day
    * @param entropy fresh random bits for this step
    */
-  public List<Output> step(Input in, Mono now, long wallMs, long entropy) {
+  public List<Output> step(Input in, MonotonicTime now, long wallMs, long entropy) {
     ports.begin(now, wallMs, entropy);
-    if (startedAt == Mono.NEVER) {
+    if (startedAt == MonotonicTime.NEVER) {
       startedAt = now;
       if (!ports.cancelsInTime()) {
         ports.error(
@@ -129,7 +128,7 @@
   }
 
   private void tick(Input.Tick t) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     election.tick();
     leader.tick();
     if (!beating && !now.before(beatAt)) {
@@ -148,10 +147,11 @@
       s.tick(t.budget());
     }
     sendQuestions();
-    Mono blindSince = Mono.NEVER;
+    MonotonicTime blindSince = MonotonicTime.NEVER;
     for (ShardOwner s : shardOwners.values()) {
-      Mono of = s.storeAsOf();
-      if (blindSince == Mono.NEVER || (of != Mono.NEVER && of.before(blindSince))) {
+      MonotonicTime of = s.storeAsOf();
+      if (blindSince == MonotonicTime.NEVER
+          || (of != MonotonicTime.NEVER && of.before(blindSince))) {
         blindSince = of;
       }
     }
@@ -253,7 +253,7 @@
   }
 
   private void health(Input.Request r) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     boolean othersServe = othersStateOk && now.since(othersAt) < 4000;
     boolean alone = !ports.config.members().isEmpty() && ports.aloneMs() > 6000;
     // In an outage of the state service no controller is better than another, and all stay healthy.
@@ -283,12 +283,18 @@
   }
 
   private void peerConfirmed(Input.Request r) {
-    long within = PeerMessages.readConfirmedWithin(Json.parse(r.body()));
+    JsonNode question = Json.parse(r.body());
+    long within = PeerMessages.readConfirmedWithin(question);
     if (within < 0) {
       malformed(r, "question");
       return;
     }
-    ports.reply(r.reply(), 200, PeerMessages.write(cancellations.answer(within, owners.values())));
+    ports.reply(
+        r.reply(),
+        200,
+        PeerMessages.write(
+            cancellations.answer(
+                within, PeerMessages.readConfirmedMost(question), owners.values())));
   }
 
   private void malformed(Input.Request r, String what) {
@@ -353,7 +359,7 @@
     strays.values().removeIf(at -> ports.now().since(at) > STRAY_MS);
     Map<PartId, Integer> byPart = new TreeMap<>();
     for (HostName h : strays.keySet()) {
-      Lent l = lent.get(h);
+      MachineAssignment l = lent.get(h);
       if (l != null) {
         byPart.merge(l.part(), 1, Integer::sum);
       }
@@ -387,7 +393,7 @@
   }
 
   private void peerBeat(Input.Request r) {
-    Beat b = PeerMessages.readBeat(Json.parse(r.body()));
+    Heartbeat b = PeerMessages.readHeartbeat(Json.parse(r.body()));
     if (b == null) {
       malformed(r, "beat");
       return;
@@ -399,7 +405,7 @@
     } else if (ports.now().since(othersAt) > 2000) {
       othersStateOk = false;
     }
-    BeatAnswer a = leader.beat(b);
+    HeartbeatAnswer a = leader.beat(b);
     if (a == null) {
       ports.reply(r.reply(), 503, Json.object().put("stateOk", ports.stateOk()));
     } else {
@@ -418,7 +424,12 @@
   }
 
   /** A report that waits until this process knows where it belongs. */
-  private record Sheltered(long reply, Report report, Mono since) {}
+  private record Sheltered(long reply, Report report, MonotonicTime since) {}
+
+  /** A report that waits holds its connection, and there are no more than sockets. */
+  private int mostSheltered() {
+    return ports.config.limits().sockets();
+  }
 
   private void shelter() {
     if (sheltered.isEmpty()) {
@@ -432,12 +443,13 @@
   private void route(Sheltered one) {
     Report w = one.report();
     long reply = one.reply();
-    Lent known = lent.get(w.host());
-    boolean unclear = known == null ? answeredAt == Mono.NEVER : !owners.containsKey(known.part());
+    MachineAssignment known = lent.get(w.host());
+    boolean unclear =
+        known == null ? answeredAt == MonotonicTime.NEVER : !owners.containsKey(known.part());
     if (unclear
         && ports.now().since(startedAt) < YOUNG_MS
         && ports.now().since(one.since()) < SHELTER_MS
-        && sheltered.size() < MAX_SHELTERED) {
+        && sheltered.size() < mostSheltered()) {
       // A process that has just begun will know in a moment. A worker that is sent away comes back
       // after a second at the earliest, and its lease may be short: after the end of all
       // controllers most of the tasks would be lost by that.
@@ -463,9 +475,9 @@
           s.report(reply, w, s.valid());
           return;
         }
-        if (s.storeAsOf() == Mono.NEVER
+        if (s.storeAsOf() == MonotonicTime.NEVER
             && ports.now().since(one.since()) < SHELTER_MS
-            && sheltered.size() < MAX_SHELTERED) {
+            && sheltered.size() < mostSheltered()) {
           // A new owner will have read the records in a moment.
           sheltered.add(one);
           return;
@@ -487,24 +499,23 @@
   // ---- beats ---------------------------------------------------------------------------------
 
   private void beat() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     NodeLabel to = election.leader();
     int renew = ports.tuning.renewMs();
     beatAt = now.plus(renew - renew / 10 + ports.random().nextInt(renew / 5 + 1));
-    List<PartBeat> parts = new ArrayList<>();
+    List<ShardReport> parts = new ArrayList<>();
     shardOwners.values().stream().filter(s -> !s.relinquished()).forEach(s -> parts.add(s.beat()));
-    refused.forEach((part, epoch) -> parts.add(PartBeat.refused(part, epoch)));
-    Beat b =
-        new Beat(
-            ports.config.label(),
-            ports.writer,
-            ports.stateOk(),
-            lendVersion,
-            parts,
-            someSeen(),
-            strays());
+    refused.forEach((part, epoch) -> parts.add(ShardReport.refused(part, epoch)));
+    List<HostInfo> met = someSeen();
+    if (!seen.isEmpty()) {
+      // The rest goes at once with the next, not an interval later.
+      beatAt = now.plus(100);
+    }
+    Heartbeat b =
+        new Heartbeat(
+            ports.config.label(), ports.writer, ports.stateOk(), lendVersion, parts, met, strays());
     if (election.holding()) {
-      BeatAnswer a = leader.beat(b);
+      HeartbeatAnswer a = leader.beat(b);
       if (a != null) {
         answered(a, now);
       }
@@ -522,7 +533,7 @@
         Math.max(500, renew * 2),
         (status, body) -> {
           beating = false;
-          BeatAnswer a = status == 200 ? PeerMessages.readAnswer(body) : null;
+          HeartbeatAnswer a = status == 200 ? PeerMessages.readAnswer(body) : null;
           if (status == 200 && a == null) {
             ports.refused("peer.malformed", "malformed answer of the leader refused");
           }
@@ -543,7 +554,7 @@
    * ever.
    */
   private void lookUpOwners() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     if (now.since(answeredAt) < STALE_MS || ownersBusy || now.before(ownersAt)) {
       return;
     }
@@ -589,7 +600,7 @@
     return last != null && !l.epoch().above(last);
   }
 
-  private void answered(BeatAnswer a, Mono sent) {
+  private void answered(HeartbeatAnswer a, MonotonicTime sent) {
     answeredAt = ports.now();
     othersStateOk = a.othersStateOk() || !election.holding();
     othersAt = ports.now();
@@ -613,7 +624,7 @@
     a.off().forEach(lent::remove);
     for (Lease l : a.leases()) {
       // Counted from before the request was sent, so that no delay can lengthen it.
-      Mono until = sent.plus(l.ttlMs() - l.ttlMs() / 500 - 20);
+      MonotonicTime until = sent.plus(l.ttlMs() - l.ttlMs() / 500 - 20);
       ShardOwner s = shardOwners.get(l.part());
       if (s != null && l.epoch().above(s.epoch()) && !s.valid()) {
         // Since the lease lapsed another may have owned the part: what we remember is not true.
@@ -657,7 +668,7 @@
   // ---- machine types -------------------------------------------------------------------------
 
   private void catalogWork() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     if (catalogBusy || now.before(catalogAt)) {
       return;
     }
@@ -730,7 +741,7 @@
   }
 
   /** The epochs of the parts whose workers this process may command at a moment, for observers. */
-  public Map<PartId, Epoch> commanded(Mono at) {
+  public Map<PartId, Epoch> commanded(MonotonicTime at) {
     Map<PartId, Epoch> m = new TreeMap<>();
     shardOwners.forEach(
         (part, shardOwner) -> {
--- a/src/main/java/shorecrank/coordination/Dependencies.java
+++ b/src/main/java/shorecrank/coordination/Dependencies.java
@@ -11,13 +11,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import shorecrank.bookkeeping.JobRecord;
-import shorecrank.bookkeeping.JobRecord.Final;
 import shorecrank.protocol.Ids.JobId;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.JobSpec.Priority;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Phase;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.Final;
 
 /**
  * Which of a part's jobs wait for which others, from their records.
@@ -55,7 +55,7 @@
   private final Set<JobId> unknown = new LinkedHashSet<>();
 
   private final Set<JobId> looking = new HashSet<>();
-  private Mono lookAt = new Mono(0);
+  private MonotonicTime lookAt = new MonotonicTime(0);
 
   private final Map<Job, Pressure> pressures = new HashMap<>();
   private boolean changed;
--- a/src/main/java/shorecrank/coordination/Election.java
+++ b/src/main/java/shorecrank/coordination/Election.java
@@ -1,9 +1,9 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
-import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.StoreMessages;
 
@@ -25,13 +25,13 @@
   private final Ports ports;
   private Step step = Step.READ;
   private boolean busy;
-  private Mono retryAt = new Mono(0);
+  private MonotonicTime retryAt = new MonotonicTime(0);
   private long watchFrom;
   private NodeLabel leader;
-  private Stamp term = Stamp.ABSENT;
+  private Revision term = Revision.ABSENT;
   private long hold = -1;
-  private Mono validUntil = Mono.NEVER;
-  private Mono renewAt = Mono.NEVER;
+  private MonotonicTime validUntil = MonotonicTime.NEVER;
+  private MonotonicTime renewAt = MonotonicTime.NEVER;
 
   Election(Ports ports) {
     this.ports = ports;
@@ -51,12 +51,12 @@
     return step == Step.LEAD && ports.now().before(validUntil);
   }
 
-  Stamp term() {
+  Revision term() {
     return term;
   }
 
   void tick() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     if (step == Step.LEAD) {
       if (!now.before(renewAt)) {
         renew();
@@ -117,7 +117,7 @@
         });
   }
 
-  private void seen(JsonNode value, Stamp stamp) {
+  private void seen(JsonNode value, Revision stamp) {
     String label = Json.text(value.path("label"));
     leader = label.isEmpty() ? null : new NodeLabel(label);
     term = stamp;
@@ -159,7 +159,7 @@
 
   private void campaign() {
     busy = true;
-    Mono sent = ports.now();
+    MonotonicTime sent = ports.now();
     ports.state(
         "POST",
         StoreMessages.GRANTS,
@@ -175,12 +175,12 @@
         });
   }
 
-  private void take(long h, Mono grantSent) {
+  private void take(long h, MonotonicTime grantSent) {
     ports.state(
         "POST",
         StoreMessages.MULTI,
         new StoreMessages.Txn()
-            .guard(KEY, Stamp.ABSENT)
+            .guard(KEY, Revision.ABSENT)
             .write(
                 KEY,
                 Json.object()
@@ -195,7 +195,7 @@
             step = Step.LEAD;
             hold = h;
             leader = ports.config.label();
-            term = new Stamp(StoreMessages.revision(body));
+            term = new Revision(StoreMessages.revision(body));
             watchFrom = term.value();
             validUntil = until(grantSent);
             renewAt = ports.now().plus(ports.tuning.leaderTtlMs() / 4);
@@ -210,13 +210,13 @@
   }
 
   /** Leases run on the service's clock; ours may be fast or slow by 0.05%. */
-  private Mono until(Mono sent) {
+  private MonotonicTime until(MonotonicTime sent) {
     long ttl = ports.tuning.leaderTtlMs();
     return sent.plus(ttl - ttl / 500 - 20);
   }
 
   private void renew() {
-    Mono sent = ports.now();
+    MonotonicTime sent = ports.now();
     long h = hold;
     renewAt = sent.plus(ports.tuning.leaderTtlMs() / 4);
     ports.state(
@@ -229,7 +229,7 @@
             return;
           }
           if (status == 200) {
-            Mono u = until(sent);
+            MonotonicTime u = until(sent);
             if (validUntil.before(u)) {
               validUntil = u;
             }
@@ -237,7 +237,7 @@
             ports.info("term %s ended", term);
             ports.count("leader.lost");
             leader = null;
-            validUntil = Mono.NEVER;
+            validUntil = MonotonicTime.NEVER;
             hold = -1;
             again(Step.READ, 50);
           } else {
--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -13,7 +13,7 @@
 import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Tenure;
 import shorecrank.protocol.Ids.Token;
@@ -30,12 +30,12 @@
   private HostType type;
   boolean lent;
   boolean recall;
-  Mono lentSince = Mono.NEVER;
+  MonotonicTime lentSince = MonotonicTime.NEVER;
 
   Tenure tenure = new Tenure(0);
   long serial = -1;
-  Mono lastHeard = Mono.NEVER;
-  Mono firstHeard = Mono.NEVER;
+  MonotonicTime lastHeard = MonotonicTime.NEVER;
+  MonotonicTime firstHeard = MonotonicTime.NEVER;
 
   /** What answers and commands to it carry; numbers under one epoch only rise. */
   private Token token = Token.NONE;
@@ -68,7 +68,7 @@
   /** Its reports arrive, but it seems not to get our answers: nothing new is placed on it. */
   boolean deaf;
 
-  Mono deafFrom = Mono.NEVER;
+  MonotonicTime deafFrom = MonotonicTime.NEVER;
 
   /** Reports in a row that show that the answer before them was not taken. */
   int unheeded;
@@ -82,18 +82,18 @@
   /** More than is needed: nothing new is placed on it, and it goes back once empty. */
   boolean draining;
 
-  Mono quarantinedUntil = Mono.NEVER;
-  Mono noRoomUntil = Mono.NEVER;
+  MonotonicTime quarantinedUntil = MonotonicTime.NEVER;
+  MonotonicTime noRoomUntil = MonotonicTime.NEVER;
   int errors;
   int quarantines;
-  Mono idleSince = Mono.NEVER;
+  MonotonicTime idleSince = MonotonicTime.NEVER;
   int listedTasks;
   Report report;
 
   /** The request whose answer waits for a commit; -1 if there is none. */
   long parked = -1;
 
-  Mono parkedUntil = Mono.NEVER;
+  MonotonicTime parkedUntil = MonotonicTime.NEVER;
 
   final Set<LiveTask> live = new ObjectLinkedOpenHashSet<>();
   final List<Ghost> ghosts = new ArrayList<>();
@@ -230,7 +230,7 @@
   }
 
   /** Seconds until it can be told something: in the answer to its next report. */
-  double toldInS(Mono now, double reportS) {
+  double toldInS(MonotonicTime now, double reportS) {
     return parked >= 0 ? 0 : Math.max(0, reportS - now.since(lastHeard) / 1000.0);
   }
 
@@ -316,6 +316,6 @@
   }
 
   boolean reported() {
-    return firstHeard != Mono.NEVER;
+    return firstHeard != MonotonicTime.NEVER;
   }
 }
--- a/src/main/java/shorecrank/coordination/Job.java
+++ b/src/main/java/shorecrank/coordination/Job.java
@@ -10,20 +10,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import shorecrank.bookkeeping.JobRecord;
-import shorecrank.bookkeeping.JobRecord.LiveRange;
 import shorecrank.protocol.Ids.Attempt;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.JobId;
-import shorecrank.protocol.Ids.Mono;
-import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Tenure;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages.TaskState;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.LiveRange;
 
 /** An unfinished job as its owner sees it: the record plus what is not yet written. */
 final class Job {
@@ -49,10 +49,11 @@
     TaskState state;
     boolean revoked;
     boolean yielded;
-    final Mono placedAt;
-    Mono runningSince;
+    final MonotonicTime placedAt;
+    MonotonicTime runningSince;
 
-    LiveTask(Job job, int index, Host host, Tenure tenure, Attempt attempt, long seq, Mono at) {
+    LiveTask(
+        Job job, int index, Host host, Tenure tenure, Attempt attempt, long seq, MonotonicTime at) {
       this.job = job;
       this.index = index;
       this.host = host;
@@ -67,7 +68,7 @@
     }
 
     /** Seconds of work that stopping it now throws away. */
-    double lost(Mono now) {
+    double lost(MonotonicTime now) {
       return runningSince == null ? 0 : now.since(runningSince) / 1000.0;
     }
 
@@ -81,7 +82,7 @@
     }
 
     /** Seconds until it ends, by its owner's estimate; of what runs over that a quarter more. */
-    double leftS(Mono now) {
+    double leftS(MonotonicTime now) {
       double estimate = Math.max(1, job.spec.estimateS());
       return Math.max(estimate / 4, estimate - lost(now));
     }
@@ -99,7 +100,7 @@
 
   final JobSpec spec;
   final long acceptedAtMs;
-  Stamp stamp;
+  Revision stamp;
   Epoch epoch;
   WriterId writer;
   long seq;
@@ -115,7 +116,7 @@
   Standing standing;
 
   /** The latest stamp a watch has shown; above ours, somebody else has written meanwhile. */
-  Stamp seenStamp = Stamp.ABSENT;
+  Revision seenStamp = Revision.ABSENT;
 
   /** A transaction with it was too large; it goes alone until it is through. */
   boolean alone;
@@ -126,8 +127,8 @@
   boolean inFlight;
   boolean rereading;
   Urgency dirty = Urgency.NONE;
-  Mono dirtySince = Mono.NEVER;
-  Mono writeAfter = Mono.NEVER;
+  MonotonicTime dirtySince = MonotonicTime.NEVER;
+  MonotonicTime writeAfter = MonotonicTime.NEVER;
 
   /** So many more ranges fit into the record; known from its last write on. */
   int rangesLeft = Integer.MAX_VALUE;
@@ -149,7 +150,7 @@
   /** The most urgent of its own priority and of those that need it. */
   JobSpec.Priority priority;
 
-  Mono placeAfter = Mono.NEVER;
+  MonotonicTime placeAfter = MonotonicTime.NEVER;
 
   /** Seconds until it must get room to reach an aim, as found when jobs were last put in order. */
   double slackS;
@@ -166,7 +167,7 @@
   /** The part's jobs with something to write; each puts itself there. */
   private final Set<Job> dirtyJobs;
 
-  Job(JobRecord r, Stamp stamp, long life, Set<Job> dirtyJobs) {
+  Job(JobRecord r, Revision stamp, long life, Set<Job> dirtyJobs) {
     this.dirtyJobs = dirtyJobs;
     this.spec = r.spec();
     this.acceptedAtMs = r.acceptedAtMs();
@@ -188,7 +189,7 @@
   }
 
   /** Takes over all of a record but its live ranges. */
-  void adoptHead(JobRecord r, Stamp st) {
+  void adoptHead(JobRecord r, Revision st) {
     stamp = st;
     standing = r.standing();
     epoch = r.epoch();
@@ -274,7 +275,7 @@
     return (spec.tasks() - done.cardinality()) * Math.max(0.1, spec.cpus()) * spec.estimateS();
   }
 
-  void touch(Urgency u, Mono now) {
+  void touch(Urgency u, MonotonicTime now) {
     dirtyJobs.add(this);
     if (dirty == Urgency.NONE) {
       dirtySince = now;
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import shorecrank.bookkeeping.Budget;
 import shorecrank.config.NodeConfig;
 import shorecrank.protocol.CloudMessages;
 import shorecrank.protocol.CloudMessages.HostType;
@@ -22,25 +21,26 @@
 import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
-import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages;
-import shorecrank.protocol.PeerMessages.Beat;
-import shorecrank.protocol.PeerMessages.BeatAnswer;
 import shorecrank.protocol.PeerMessages.Blocked;
-import shorecrank.protocol.PeerMessages.Hearing;
+import shorecrank.protocol.PeerMessages.CapacityRequest;
+import shorecrank.protocol.PeerMessages.Heartbeat;
+import shorecrank.protocol.PeerMessages.HeartbeatAnswer;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.Lease;
-import shorecrank.protocol.PeerMessages.Lent;
+import shorecrank.protocol.PeerMessages.MachineAssignment;
 import shorecrank.protocol.PeerMessages.OwnerInfo;
-import shorecrank.protocol.PeerMessages.PartBeat;
-import shorecrank.protocol.PeerMessages.Want;
+import shorecrank.protocol.PeerMessages.ShardReport;
+import shorecrank.protocol.PeerMessages.WorkerReachability;
 import shorecrank.protocol.StoreMessages;
+import shorecrank.storage.Budget;
 
 /** The leading controller's work: epochs, part leases, lending machines, dealing with the cloud. */
 final class Leader {
@@ -57,8 +57,8 @@
   private static final class Node {
     WriterId writer;
     boolean stateOk;
-    Mono stateBadSince = Mono.NEVER;
-    Mono heard = Mono.NEVER;
+    MonotonicTime stateBadSince = MonotonicTime.NEVER;
+    MonotonicTime heard = MonotonicTime.NEVER;
     Map<PartId, Integer> strays = Map.of();
   }
 
@@ -66,7 +66,7 @@
     NodeLabel owner;
     WriterId writer;
     Epoch epoch = Epoch.NONE;
-    Mono leaseUntil = Mono.NEVER;
+    MonotonicTime leaseUntil = MonotonicTime.NEVER;
     boolean vacant = true;
     boolean revoking;
     boolean minting;
@@ -78,16 +78,16 @@
     NodeLabel unreached;
 
     List<String> unreachedBy = List.of();
-    Mono movedAt = Mono.NEVER;
+    MonotonicTime movedAt = MonotonicTime.NEVER;
   }
 
   private static final class Host {
     HostInfo info;
     PartId part;
     Epoch term;
-    Mono since;
+    MonotonicTime since;
     boolean recall;
-    Mono listedAt = Mono.NEVER;
+    MonotonicTime listedAt = MonotonicTime.NEVER;
 
     /** Whether the assignment stands in the store. */
     boolean recorded;
@@ -123,19 +123,34 @@
 
   private static final long BLOCK_MAX_MS = 10_000;
 
-  /** Changes of the lending that are kept; who lags further behind gets all of it. */
-  private static final int KEPT_CHANGES = 3000;
+  /**
+   * At least so many removed assignments are kept, and as many as there are machines: a controller
+   * that lags further behind gets all assignments, which is then the shorter message.
+   */
+  private static final int MIN_KEPT_REMOVALS = 1000;
+
+  /** An owner's request for more machines than the cloud could rent in this time is cut there. */
+  private static final int REQUEST_HORIZON_S = 60;
+
+  /** Listing the machines may take this share of the cloud's calls. */
+  private static final double LISTING_SHARE = 0.3;
 
-  /** An owner that asks for more of a kind at once asks again. */
-  private static final int MAX_WANTED = 1000;
+  /** The machine list is read again after so long at the earliest. */
+  private static final long LIST_PAUSE_MS = 5000;
+
+  /** While no machine is known the list is read more often. */
+  private static final long EMPTY_LIST_PAUSE_MS = 1000;
+
+  /** A page that must wait for the cloud's rate limit is tried again after so long. */
+  private static final long PAGE_RETRY_MS = 200;
 
   private final Ports ports;
   private final Election election;
   private final Map<NodeLabel, Node> nodes = new TreeMap<>();
   private final Map<PartId, Part> parts = new TreeMap<>();
   private final Map<HostName, Host> hosts = new TreeMap<>();
-  private final Map<HostName, Mono> released = new HashMap<>();
-  private final Map<Offer, Mono> blockedUntil = new LinkedHashMap<>();
+  private final Map<HostName, MonotonicTime> released = new HashMap<>();
+  private final Map<Offer, MonotonicTime> blockedUntil = new LinkedHashMap<>();
   private final Map<Offer, Integer> refusals = new HashMap<>();
   private final Set<HostName> toRelease = new LinkedHashSet<>();
   private final Set<HostName> releasing = new LinkedHashSet<>();
@@ -150,11 +165,11 @@
    * The stamps of the shelves as last read or written: an own write without an answer may come
    * after a later one, and must not put what was there before in its place.
    */
-  private final Map<String, Stamp> shelfStamps = new TreeMap<>();
+  private final Map<String, Revision> shelfStamps = new TreeMap<>();
 
-  private Mono saveAt = new Mono(0);
+  private MonotonicTime saveAt = new MonotonicTime(0);
   private final Budget cloudCalls;
-  private Stamp loadedTerm = Stamp.ABSENT;
+  private Revision loadedTerm = Revision.ABSENT;
 
   /**
    * Shards for which a new owner may yet be written down by a transaction without an answer. The
@@ -163,14 +178,14 @@
    */
   private final Set<PartId> ownerInDoubt = new TreeSet<>();
 
-  private Stamp doubtTerm = Stamp.ABSENT;
+  private Revision doubtTerm = Revision.ABSENT;
 
   /** The grant was in doubt for a while, so no lease could be granted. */
   private boolean interrupted;
 
   private boolean loading;
-  private Mono loadRetryAt = new Mono(0);
-  private Stamp epochStamp = Stamp.ABSENT;
+  private MonotonicTime loadRetryAt = new MonotonicTime(0);
+  private Revision epochStamp = Revision.ABSENT;
   private long epochCounter;
   private boolean minting;
   private boolean saving;
@@ -178,11 +193,15 @@
   private final ArrayDeque<Dropped> dropped = new ArrayDeque<>();
   private long droppedFloor;
   private boolean listing;
+
+  /** The page of the machine list that is to be read next; null while none waits. */
+  private ListedSoFar nextPage;
+
   private boolean releasingNow;
   private long claimCount;
   private long lendVersion;
-  private Mono listAt = new Mono(0);
-  private Mono cloudRetryAt = new Mono(0);
+  private MonotonicTime listAt = new MonotonicTime(0);
+  private MonotonicTime cloudRetryAt = new MonotonicTime(0);
   private Map<String, HostType> catalog = Map.of();
 
   Leader(Ports ports, Election election) {
@@ -226,7 +245,7 @@
    * ended lease say anything about its owner.
    */
   private void awaitOwners() {
-    Mono heardBy = ports.now().plus(ports.tuning.renewMs() * OWNER_HEARTBEATS);
+    MonotonicTime heardBy = ports.now().plus(ports.tuning.renewMs() * OWNER_HEARTBEATS);
     for (Part p : parts.values()) {
       if (p.leaseUntil.before(heardBy)) {
         p.leaseUntil = heardBy;
@@ -238,7 +257,7 @@
 
   private void load() {
     loading = true;
-    Stamp term = election.term();
+    Revision term = election.term();
     ports.state(
         "GET",
         StoreMessages.key(EPOCH),
@@ -255,7 +274,7 @@
               return;
             }
           } else if (status == 404) {
-            epochStamp = Stamp.ABSENT;
+            epochStamp = Revision.ABSENT;
             epochCounter = 0;
           } else {
             loadLater();
@@ -270,7 +289,7 @@
     loadRetryAt = ports.now().plus(300);
   }
 
-  private void loadParts(Stamp term) {
+  private void loadParts(Revision term) {
     ports.state(
         "GET",
         StoreMessages.list(PART, "", 200),
@@ -321,7 +340,7 @@
     return ports.tuning.leaseMs() + ports.tuning.leaseMs() / 500 + 20;
   }
 
-  private void loadHosts(Stamp term, String after) {
+  private void loadHosts(Revision term, String after) {
     ports.state(
         "GET",
         StoreMessages.list(HOSTS, after, 500),
@@ -363,6 +382,7 @@
             saving = false;
             claiming = 0;
             listing = false;
+            nextPage = null;
             releasingNow = false;
             minting = false;
             // Above all that was told in this term, should this be a second look in it: else a
@@ -399,17 +419,17 @@
   // ---- beats and leases ----------------------------------------------------------------------
 
   /** Null while this controller can't answer for the leader. */
-  BeatAnswer beat(Beat b) {
+  HeartbeatAnswer beat(Heartbeat b) {
     if (!ready()) {
       return null;
     }
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     Node node = nodes.computeIfAbsent(b.from(), k -> new Node());
     node.heard = now;
     node.writer = b.writer();
     if (b.stateOk()) {
-      node.stateBadSince = Mono.NEVER;
-    } else if (node.stateOk || node.stateBadSince == Mono.NEVER) {
+      node.stateBadSince = MonotonicTime.NEVER;
+    } else if (node.stateOk || node.stateBadSince == MonotonicTime.NEVER) {
       node.stateBadSince = now;
     }
     node.stateOk = b.stateOk();
@@ -427,8 +447,8 @@
         p.vacant = true;
         continue;
       }
-      PartBeat pb = null;
-      for (PartBeat x : b.parts()) {
+      ShardReport pb = null;
+      for (ShardReport x : b.parts()) {
         if (x.part().equals(e.getKey())) {
           pb = x;
         }
@@ -466,7 +486,7 @@
       p.leaseUntil = now.plus(leaseBound());
       leases.add(new Lease(e.getKey(), p.epoch, ports.tuning.leaseMs()));
     }
-    for (PartBeat pb : b.parts()) {
+    for (ShardReport pb : b.parts()) {
       Part p = parts.get(pb.part());
       if (p != null && b.writer().equals(p.writer) && pb.epoch().equals(p.epoch)) {
         take(pb, b.lendVersion());
@@ -487,8 +507,8 @@
    * all of them are likely to reach. Their leases would run out, although nothing is wrong with
    * them.
    */
-  private boolean unreached(PartId id, Part p, Hearing h) {
-    Mono now = ports.now();
+  private boolean unreached(PartId id, Part p, WorkerReachability h) {
+    MonotonicTime now = ports.now();
     if (h.unheard() < 2 || h.unheard() * 5 < h.expected() || now.since(p.movedAt) < MOVE_PAUSE_MS) {
       return false;
     }
@@ -514,10 +534,10 @@
    * notice the end as it would get to notice the beginning.
    */
   private boolean lacksState(Node n) {
-    if (n.stateBadSince == Mono.NEVER) {
+    if (n.stateBadSince == MonotonicTime.NEVER) {
       return false;
     }
-    Mono since =
+    MonotonicTime since =
         n.stateBadSince.before(ports.stateOkSince()) ? ports.stateOkSince() : n.stateBadSince;
     return ports.now().since(since) > STATE_BAD_MS;
   }
@@ -548,7 +568,7 @@
     return false;
   }
 
-  private void takeFence(PartId id, Part p, PartBeat pb) {
+  private void takeFence(PartId id, Part p, ShardReport pb) {
     Epoch f = pb.fenced();
     // Only the owner's own report, at its own epoch, moves the counter; and never by a jump that
     // would walk it to its end.
@@ -561,8 +581,8 @@
     }
   }
 
-  private BeatAnswer answer(Beat b, List<Lease> leases) {
-    Mono now = ports.now();
+  private HeartbeatAnswer answer(Heartbeat b, List<Lease> leases) {
+    MonotonicTime now = ports.now();
     List<OwnerInfo> owners = new ArrayList<>();
     parts.forEach(
         (id, p) -> {
@@ -572,12 +592,12 @@
         });
     // Who knows a lending of this term gets what changed since, others all of it.
     boolean whole = b.lendVersion() < droppedFloor || b.lendVersion() > lendVersion;
-    List<Lent> lent = new ArrayList<>();
+    List<MachineAssignment> lent = new ArrayList<>();
     List<HostName> off = new ArrayList<>();
     if (b.lendVersion() != lendVersion) {
       for (Host h : hosts.values()) {
         if (told(h) && (whole || h.version > b.lendVersion())) {
-          lent.add(new Lent(h.info, h.part, now.since(h.since), h.recall));
+          lent.add(new MachineAssignment(h.info, h.part, now.since(h.since), h.recall));
         }
       }
       if (!whole) {
@@ -607,7 +627,7 @@
             blocked.add(new Blocked(o, until.since(now)));
           }
         });
-    return new BeatAnswer(
+    return new HeartbeatAnswer(
         election.term().value(),
         anyOtherOk(b.from()),
         leases,
@@ -630,7 +650,7 @@
   }
 
   private void assignParts() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
       Part p = e.getValue();
       boolean lapsed = !p.vacant && p.leaseUntil.before(now);
@@ -671,10 +691,10 @@
     }
   }
 
-  private Mono officeSince = Mono.NEVER;
-  private Stamp officeTerm = Stamp.ABSENT;
+  private MonotonicTime officeSince = MonotonicTime.NEVER;
+  private Revision officeTerm = Revision.ABSENT;
 
-  private Mono listedFirst() {
+  private MonotonicTime listedFirst() {
     if (!officeTerm.equals(loadedTerm)) {
       officeTerm = loadedTerm;
       officeSince = ports.now();
@@ -689,7 +709,7 @@
     minting = true;
     p.minting = true;
     long next = Math.max(epochCounter, above) + 1;
-    Stamp term = loadedTerm;
+    Revision term = loadedTerm;
     ports.state(
         "POST",
         StoreMessages.MULTI,
@@ -715,7 +735,7 @@
           if (status != 200) {
             // Also without an answer: what the counter holds now is only known after a new look,
             // and a later mint behind the same guard is what settles it.
-            loadedTerm = Stamp.ABSENT;
+            loadedTerm = Revision.ABSENT;
             loadRetryAt = ports.now().plus(200);
             if (!StoreMessages.notCarriedOut(status) && !owner.equals(p.owner)) {
               ownerInDoubt.add(id);
@@ -724,7 +744,7 @@
             return;
           }
           ownerInDoubt.clear();
-          epochStamp = new Stamp(StoreMessages.revision(body));
+          epochStamp = new Revision(StoreMessages.revision(body));
           epochCounter = next;
           p.owner = owner;
           p.writer = writer;
@@ -757,6 +777,9 @@
 
   private PartId neediest() {
     PartId best = new PartId(0);
+    if (parts.size() == 1) {
+      return best;
+    }
     long most = Long.MIN_VALUE;
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
       long have = 0;
@@ -831,21 +854,31 @@
 
   /** Something else is on the shelves than we wrote last: a write of ours that came late. */
   private void readShelfStamps() {
-    Stamp term = loadedTerm;
     saving = true;
+    readShelfStamps("", new ArrayList<>());
+  }
+
+  private void readShelfStamps(String after, List<StoreMessages.Entry> read) {
+    Revision term = loadedTerm;
     ports.state(
         "GET",
-        StoreMessages.list(HOSTS, "", 500),
+        StoreMessages.list(HOSTS, after, 500),
         null,
         CALL_MS,
         (status, body) -> {
-          saving = false;
           if (!loadedTerm.equals(term)) {
             return;
           }
+          List<StoreMessages.Entry> page = status == 200 ? StoreMessages.entries(body) : List.of();
+          read.addAll(page);
+          if (StoreMessages.more(body) && !page.isEmpty()) {
+            readShelfStamps(page.get(page.size() - 1).key(), read);
+            return;
+          }
+          saving = false;
           if (status == 200) {
             shelfStamps.clear();
-            StoreMessages.entries(body).forEach(this::shelfStamp);
+            read.forEach(this::shelfStamp);
           }
           saveAt = ports.now().plus(SAVE_PAUSE_MS);
         });
@@ -856,7 +889,7 @@
   }
 
   private void saveHosts() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     if (saving || unsaved.isEmpty() || now.before(saveAt)) {
       return;
     }
@@ -871,13 +904,18 @@
     }
     List<Integer> batch = new ArrayList<>();
     Map<String, ArrayNode> values = new TreeMap<>();
+    int bytes = 0;
     for (Map.Entry<Integer, List<Host>> e : onShelf.entrySet()) {
       Map<String, ArrayNode> boards = boards(e.getKey(), e.getValue());
-      if (!batch.isEmpty() && values.size() + boards.size() > most) {
+      int more = boards.values().stream().mapToInt(board -> Json.bytes(board).length).sum();
+      boolean full =
+          values.size() + boards.size() > most || bytes + more > StoreMessages.TXN_FILL_BYTES;
+      if (!batch.isEmpty() && full) {
         break;
       }
       batch.add(e.getKey());
       values.putAll(boards);
+      bytes += more;
     }
     if (!ports.writes.has(values.size(), now)) {
       return;
@@ -890,9 +928,9 @@
     StoreMessages.Txn t = new StoreMessages.Txn().guard(Election.KEY, loadedTerm);
     values.forEach(
         (key, on) ->
-            t.guard(key, shelfStamps.getOrDefault(key, Stamp.ABSENT))
+            t.guard(key, shelfStamps.getOrDefault(key, Revision.ABSENT))
                 .write(key, Json.object().set("m", on)));
-    Stamp term = loadedTerm;
+    Revision term = loadedTerm;
     ports.state(
         "POST",
         StoreMessages.MULTI,
@@ -904,7 +942,7 @@
             return;
           }
           if (status == 200) {
-            Stamp stamp = new Stamp(StoreMessages.revision(body));
+            Revision stamp = new Revision(StoreMessages.revision(body));
             values.keySet().forEach(key -> shelfStamps.put(key, stamp));
             batch.forEach(shelf -> onShelf.get(shelf).forEach(this::recorded));
             return;
@@ -925,7 +963,7 @@
   }
 
   /** What an owner asks for its part. */
-  private void take(PartBeat pb, long knownVersion) {
+  private void take(ShardReport pb, long knownVersion) {
     for (HostName h : pb.retire()) {
       Host x = hosts.get(h);
       // A machine no longer known may have been released by a leader that could not say so.
@@ -955,10 +993,10 @@
     // An owner that has not yet seen the last lending would ask for the same machines again.
     boolean allTold = parts.size() == 1 || (unsaved.isEmpty() && !saving);
     if (knownVersion == lendVersion && allTold && claims.isEmpty() && claiming == 0) {
-      for (Want w : pb.wants()) {
-        Mono until = blockedUntil.get(w.offer());
+      for (CapacityRequest w : pb.wants()) {
+        MonotonicTime until = blockedUntil.get(w.offer());
         if (w.count() > 0 && (until == null || until.before(ports.now()))) {
-          for (int left = Math.min(w.count(), MAX_WANTED); left > 0; ) {
+          for (int left = Math.min(w.count(), mostRequested()); left > 0; ) {
             int n = Math.min(left, CloudMessages.MAX_RENT);
             claims.add(new Claim("sc-" + loadedTerm + "-" + ++claimCount, w.offer(), n, pb.part()));
             left -= n;
@@ -968,6 +1006,11 @@
     }
   }
 
+  private int mostRequested() {
+    double claims = ports.config.cloud().rps() * REQUEST_HORIZON_S;
+    return (int) Math.max(1, claims) * CloudMessages.MAX_RENT;
+  }
+
   /** Empty of the last part's tasks, and lent on only above its term. */
   private void handOver(Host x, PartId from) {
     PartId to = neediest();
@@ -994,7 +1037,7 @@
   // ---- the cloud -----------------------------------------------------------------------------
 
   private void cloudWork() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     if (now.before(cloudRetryAt)) {
       return;
     }
@@ -1004,9 +1047,12 @@
     while (!claims.isEmpty() && claiming < MAX_CLAIMS && cloudCalls.tryTake(1, now)) {
       claim(claims.poll());
     }
-    if (!listing && !now.before(listAt) && cloudCalls.tryTake(1, now)) {
-      listing = true;
-      list("", now, new HashMap<>());
+    if (!now.before(listAt) && (!listing || nextPage != null) && cloudCalls.tryTake(1, now)) {
+      if (!listing) {
+        listing = true;
+        nextPage = new ListedSoFar("", new HashMap<>());
+      }
+      list(nextPage);
     }
   }
 
@@ -1020,7 +1066,7 @@
     }
     batch.forEach(toRelease::remove);
     releasing.addAll(batch);
-    Stamp term = loadedTerm;
+    Revision term = loadedTerm;
     ports.cloud(
         "POST",
         CloudMessages.RELEASE,
@@ -1053,14 +1099,14 @@
   /** Tells owners that the machine is no longer assigned as they know. */
   private void drop(HostName h) {
     dropped.add(new Dropped(++lendVersion, h));
-    while (dropped.size() > KEPT_CHANGES) {
+    while (dropped.size() > Math.max(MIN_KEPT_REMOVALS, hosts.size())) {
       droppedFloor = dropped.poll().version;
     }
   }
 
   private void claim(Claim c) {
     claiming++;
-    Stamp term = loadedTerm;
+    Revision term = loadedTerm;
     ports.cloud(
         "POST",
         CloudMessages.RENT,
@@ -1071,7 +1117,7 @@
             return;
           }
           claiming--;
-          Mono now = ports.now();
+          MonotonicTime now = ports.now();
           if (status == 200) {
             List<HostName> got = CloudMessages.rented(body);
             for (HostName h : got) {
@@ -1104,7 +1150,7 @@
   private void block(Offer o) {
     // Those not yet sent would be refused too; their owners ask for something else.
     claims.removeIf(c -> c.offer().equals(o) && !tried.contains(c.name()));
-    if (ports.now().before(blockedUntil.getOrDefault(o, Mono.NEVER))) {
+    if (ports.now().before(blockedUntil.getOrDefault(o, MonotonicTime.NEVER))) {
       return;
     }
     int n = refusals.merge(o, 1, Integer::sum);
@@ -1113,11 +1159,20 @@
     ports.info("no capacity for %s, again in %d ms", o, ms);
   }
 
-  private void list(String after, Mono began, Map<HostName, Listed> found) {
-    Stamp term = loadedTerm;
+  /** The machine list as read up to a name; each page is a call of its own. */
+  private record ListedSoFar(String after, Map<HostName, Listed> found) {
+    int pages() {
+      return 1 + found.size() / CloudMessages.MAX_PAGE;
+    }
+  }
+
+  private void list(ListedSoFar soFar) {
+    Revision term = loadedTerm;
+    Map<HostName, Listed> found = soFar.found();
+    nextPage = null;
     ports.cloud(
         "GET",
-        CloudMessages.list(after),
+        CloudMessages.list(soFar.after()),
         null,
         CLOUD_MS,
         (status, body) -> {
@@ -1132,20 +1187,34 @@
           List<Listed> page = CloudMessages.listed(body);
           page.forEach(l -> found.put(l.name(), l));
           if (CloudMessages.more(body) && !page.isEmpty()) {
-            list(page.get(page.size() - 1).name().value(), began, found);
+            nextPage = new ListedSoFar(page.get(page.size() - 1).name().value(), found);
+            if (cloudCalls.tryTake(1, ports.now())) {
+              list(nextPage);
+            } else {
+              listAt = ports.now().plus(PAGE_RETRY_MS);
+            }
             return;
           }
           listing = false;
-          listAt = ports.now().plus(hosts.isEmpty() ? 1000 : 5000);
+          listAt = ports.now().plus(listPauseMs(soFar.pages()));
           listed(found.values());
         });
   }
 
+  /** So that reading the list, however many pages it has, leaves calls for renting. */
+  private long listPauseMs(int pages) {
+    if (hosts.isEmpty()) {
+      return EMPTY_LIST_PAUSE_MS;
+    }
+    double callsPerMs = ports.config.cloud().rps() * LISTING_SHARE / 1000;
+    return Math.max(LIST_PAUSE_MS, (long) (pages / callsPerMs));
+  }
+
   private void listed(Collection<Listed> found) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     long lag = (long) (ports.config.cloud().listLagS() * 2000) + 2000;
     for (Listed l : found) {
-      Mono at = released.get(l.name());
+      MonotonicTime at = released.get(l.name());
       if (at != null) {
         if (now.since(at) > lag + 10_000) {
           // The release was answered, so this can only be a machine that came back under a held
@@ -1173,7 +1242,7 @@
     // Once listed, a machine stays listed until it is gone; lists lag and go backwards, so this
     // alone proves nothing. Its release, answered 200, does.
     for (Host h : hosts.values()) {
-      if (h.listedAt != Mono.NEVER
+      if (h.listedAt != MonotonicTime.NEVER
           && now.since(h.listedAt) > lag
           && !releasing.contains(h.info.name())
           && toRelease.add(h.info.name())) {
--- a/src/main/java/shorecrank/coordination/Placement.java
+++ b/src/main/java/shorecrank/coordination/Placement.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.CloudMessages.Offer;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.JobSpec;
 
 /** Where a job's tasks may go, and where they go best. */
@@ -34,7 +34,7 @@
   }
 
   /** When it is, and how often workers report: a start goes in the answer to a report. */
-  record Clock(Mono now, double reportS) {}
+  record Clock(MonotonicTime now, double reportS) {}
 
   /** What a placement there costs, in seconds; less is better. */
   private static double cost(JobSpec s, Host h, int wanted, Clock clock) {
--- a/src/main/java/shorecrank/coordination/Ports.java
+++ b/src/main/java/shorecrank/coordination/Ports.java
@@ -7,12 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import shorecrank.bookkeeping.Budget;
 import shorecrank.config.NodeConfig;
 import shorecrank.config.Tuning;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.storage.Budget;
 
 /** One step's view of the world for the parts of the core: time in, effects out. */
 final class Ports {
@@ -22,7 +22,7 @@
     void answer(int status, JsonNode body);
   }
 
-  private record Pending(OnAnswer then, Output.Target target, Mono sent) {}
+  private record Pending(OnAnswer then, Output.Target target, MonotonicTime sent) {}
 
   /** Steady clocks of two machines drift apart by up to 0.05%; twice that is allowed for. */
   private static final double EVIDENCE_DRIFT = 0.002;
@@ -46,13 +46,13 @@
   private long nextCall = 1;
   private long lives;
   private List<Output> out = new ArrayList<>();
-  private Mono now = new Mono(0);
+  private MonotonicTime now = new MonotonicTime(0);
   private long wallMs;
   private SplittableRandom random = new SplittableRandom(0);
-  private Mono stateOkAt = Mono.NEVER;
-  private Mono stateOkSince = Mono.NEVER;
-  private Mono peerHeardAt = Mono.NEVER;
-  private final Map<String, Mono> refusalToldAt = new HashMap<>();
+  private MonotonicTime stateOkAt = MonotonicTime.NEVER;
+  private MonotonicTime stateOkSince = MonotonicTime.NEVER;
+  private MonotonicTime peerHeardAt = MonotonicTime.NEVER;
+  private final Map<String, MonotonicTime> refusalToldAt = new HashMap<>();
 
   Ports(NodeConfig config, Tuning tuning, WriterId writer) {
     this.config = config;
@@ -98,7 +98,7 @@
     return safeEvidenceMs() >= leastEvidenceMs();
   }
 
-  void begin(Mono now, long wallMs, long entropy) {
+  void begin(MonotonicTime now, long wallMs, long entropy) {
     this.now = now;
     this.wallMs = wallMs;
     this.random = new SplittableRandom(entropy);
@@ -115,7 +115,7 @@
     return ++lives;
   }
 
-  Mono now() {
+  MonotonicTime now() {
     return now;
   }
 
@@ -184,7 +184,7 @@
     return now.since(stateOkAt) < tuning.stateFreshMs();
   }
 
-  Mono stateOkAt() {
+  MonotonicTime stateOkAt() {
     return stateOkAt;
   }
 
@@ -199,7 +199,7 @@
   }
 
   /** When the state service began to answer again after it had not, or first. */
-  Mono stateOkSince() {
+  MonotonicTime stateOkSince() {
     return stateOkSince;
   }
 
@@ -227,7 +227,7 @@
   /** Something from outside was refused: counted, and logged at a bounded rate. */
   void refused(String metric, String what) {
     count(metric);
-    if (now.since(refusalToldAt.getOrDefault(metric, Mono.NEVER)) >= REFUSAL_PAUSE_MS) {
+    if (now.since(refusalToldAt.getOrDefault(metric, MonotonicTime.NEVER)) >= REFUSAL_PAUSE_MS) {
       refusalToldAt.put(metric, now);
       error("%s", what);
     }
--- a/src/main/java/shorecrank/coordination/PrerequisiteCheck.java
+++ b/src/main/java/shorecrank/coordination/PrerequisiteCheck.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import shorecrank.protocol.Ids.JobId;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.UserMessages.Phase;
 
 /**
@@ -51,7 +51,7 @@
   private final LookUp lookUp;
 
   /** Jobs seen in their records, and when. */
-  private final Cache<JobId, Mono> unfinished =
+  private final Cache<JobId, MonotonicTime> unfinished =
       Caffeine.newBuilder().maximumSize(MAX_KEPT).executor(Runnable::run).build();
 
   PrerequisiteCheck(Ports ports, LookUp lookUp) {
@@ -99,7 +99,7 @@
     }
 
     private boolean seenLately(JobId id) {
-      Mono at = unfinished.getIfPresent(id);
+      MonotonicTime at = unfinished.getIfPresent(id);
       return at != null && ports.now().since(at) < FRESH_MS;
     }
 
--- a/src/main/java/shorecrank/coordination/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -12,9 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import shorecrank.bookkeeping.Budget;
-import shorecrank.bookkeeping.JobRecord;
-import shorecrank.bookkeeping.JobRecord.LiveRange;
 import shorecrank.config.NodeConfig;
 import shorecrank.coordination.Job.LiveTask;
 import shorecrank.coordination.Job.Urgency;
@@ -23,16 +20,16 @@
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.JobId;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.PartId;
-import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages.HostInfo;
-import shorecrank.protocol.PeerMessages.Lent;
-import shorecrank.protocol.PeerMessages.PartBeat;
+import shorecrank.protocol.PeerMessages.MachineAssignment;
+import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
@@ -45,12 +42,14 @@
 import shorecrank.protocol.WorkerMessages.TaskReport;
 import shorecrank.protocol.WorkerMessages.TaskState;
 import shorecrank.protocol.WorkerMessages.Why;
+import shorecrank.storage.Budget;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.LiveRange;
 
 /** The owner of one part: its jobs, the machines lent to it, and every write to its records. */
 final class ShardOwner {
   private static final int CALL_MS = 2000;
   private static final int MAX_IN_FLIGHT = 3;
-  private static final int TXN_BYTES = 56 * 1024;
 
   /** What a live range takes of a packed record, at the most. */
   private static final int RANGE_BYTES = 12;
@@ -93,23 +92,23 @@
   final PartId part;
   private final Epoch firstEpoch;
   private Epoch epoch;
-  private Mono validUntil = Mono.NEVER;
+  private MonotonicTime validUntil = MonotonicTime.NEVER;
   private boolean relinquished;
   private Epoch fenced = Epoch.NONE;
   private boolean reload;
 
   private Stage stage = Stage.LOADING;
   private boolean loadBusy;
-  private Mono loadRetryAt = new Mono(0);
+  private MonotonicTime loadRetryAt = new MonotonicTime(0);
   private long loadRound;
   private long watchFrom;
   private boolean watching;
 
   /** Up to when the state service has shown all changes of records, cancellations among them. */
-  private Mono storeAsOf = Mono.NEVER;
+  private MonotonicTime storeAsOf = MonotonicTime.NEVER;
 
   private final Cancellations cancellations;
-  private Mono watchRetryAt = new Mono(0);
+  private MonotonicTime watchRetryAt = new MonotonicTime(0);
 
   final Map<JobId, Job> jobs = new TreeMap<>();
   private final Set<JobId> latched = new HashSet<>();
@@ -121,7 +120,7 @@
   /** Jobs with something to write. */
   private final Set<Job> dirty = new ObjectLinkedOpenHashSet<>();
 
-  private Mono lookedAt = Mono.NEVER;
+  private MonotonicTime lookedAt = MonotonicTime.NEVER;
   private boolean hearsFew;
   private final Map<String, double[]> teamUse = new HashMap<>();
   private Map<String, HostType> catalog = Map.of();
@@ -131,7 +130,7 @@
   /** Commands that went straight to workers and are not answered. */
   private int directOut;
 
-  private Mono writeRetryAt = Mono.NEVER;
+  private MonotonicTime writeRetryAt = MonotonicTime.NEVER;
   private JobId cursor;
   final WorkerLiveness liveness;
   final Autoscaler autoscaler;
@@ -142,9 +141,10 @@
   private final StatusQueries statusQueries;
   private final Set<Host> parked = new LinkedHashSet<>();
   private boolean kicked;
-  private Mono readyAt = Mono.NEVER;
+  private MonotonicTime readyAt = MonotonicTime.NEVER;
 
-  ShardOwner(Ports ports, Cancellations cancellations, PartId part, Epoch epoch, Mono grantedAt) {
+  ShardOwner(
+      Ports ports, Cancellations cancellations, PartId part, Epoch epoch, MonotonicTime grantedAt) {
     this.ports = ports;
     this.cancellations = cancellations;
     this.part = part;
@@ -177,7 +177,7 @@
   }
 
   /** The leader's lease: no other controller owns the part before it ends, by our own clock. */
-  void lease(Epoch e, Mono until) {
+  void lease(Epoch e, MonotonicTime until) {
     if (e.above(epoch)) {
       ports.info("part %s: raised from epoch %s to %s", part, epoch, e);
       epoch = e;
@@ -195,12 +195,12 @@
     return validAt(ports.now());
   }
 
-  boolean validAt(Mono at) {
+  boolean validAt(MonotonicTime at) {
     return at.before(validUntil);
   }
 
   /** Since when the picture is whole. */
-  Mono readyAt() {
+  MonotonicTime readyAt() {
     return readyAt;
   }
 
@@ -251,7 +251,7 @@
   }
 
   /** Up to when the state service has shown this owner all cancellations. */
-  Mono storeAsOf() {
+  MonotonicTime storeAsOf() {
     return storeAsOf;
   }
 
@@ -323,7 +323,7 @@
       if (ports.now().since(lookedAt) >= LOOK_MS) {
         lookedAt = ports.now();
         verdicts();
-        Usage.tell(ports, hosts.values(), jobs.values(), liveness);
+        UtilizationGauges.tell(ports, hosts.values(), jobs.values(), liveness);
         hearsFew = liveness.hearsFew();
         // Whatever became due without being touched.
         dirty.addAll(jobs.values());
@@ -363,7 +363,7 @@
     loadPage("", ++loadRound, ports.now());
   }
 
-  private void loadPage(String after, long round, Mono began) {
+  private void loadPage(String after, long round, MonotonicTime began) {
     ports.state(
         "GET",
         StoreMessages.list(JobRecord.LIVE, after, 200),
@@ -411,13 +411,13 @@
         });
   }
 
-  private void shownUpTo(Mono sent) {
+  private void shownUpTo(MonotonicTime sent) {
     if (storeAsOf.before(sent)) {
       storeAsOf = sent;
     }
   }
 
-  private Job add(JobRecord r, Stamp stamp) {
+  private Job add(JobRecord r, Revision stamp) {
     if (r.aborted()) {
       cancellations.learn(r.spec().id());
     }
@@ -486,7 +486,7 @@
   private void watch() {
     watching = true;
     long round = loadRound;
-    Mono sent = ports.now();
+    MonotonicTime sent = ports.now();
     ports.state(
         "GET",
         StoreMessages.watch(JobRecord.LIVE, watchFrom, WATCH_HOLD_MS),
@@ -559,7 +559,7 @@
   private record Write(Job job, long seq, boolean last, Standing standing) {}
 
   private void flush() {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     if (now.before(writeRetryAt) || inFlight >= MAX_IN_FLIGHT) {
       return;
     }
@@ -595,7 +595,8 @@
         int ops = ops(j);
         if (((j.alone || (!batch.isEmpty() && batch.get(0).job.alone)) && !batch.isEmpty())
             || txn.ops() + ops > ports.config.state().txnOps()
-            || (bytes > 0 && bytes + ports.config.state().valueKb() * 1024 > TXN_BYTES)
+            || (bytes > 0
+                && bytes + ports.config.state().valueKb() * 1024 > StoreMessages.TXN_FILL_BYTES)
             || !budget(j).has(ops, now)) {
           break;
         }
@@ -694,7 +695,7 @@
           if (closed) {
             return;
           }
-          Mono now = ports.now();
+          MonotonicTime now = ports.now();
           Set<String> failed = status == 409 ? StoreMessages.failed(body) : Set.of();
           for (Write w : batch) {
             Job j = w.job;
@@ -703,7 +704,7 @@
               continue;
             }
             if (status == 200) {
-              committed(w, new Stamp(StoreMessages.revision(body)));
+              committed(w, new Revision(StoreMessages.revision(body)));
             } else if (failed.contains(JobRecord.liveKey(j.id()))) {
               j.touch(Urgency.NOW, now);
               reread(j);
@@ -799,7 +800,7 @@
     return Math.max(4, ports.config.limits().sockets() / 20);
   }
 
-  private void committed(Write w, Stamp stamp) {
+  private void committed(Write w, Revision stamp) {
     Job j = w.job;
     j.stamp = stamp;
     j.committedSeq = w.seq;
@@ -889,7 +890,7 @@
         });
   }
 
-  private void reconcile(Job j, JobRecord r, Stamp stamp) {
+  private void reconcile(Job j, JobRecord r, Revision stamp) {
     if (r.epoch().above(epoch)) {
       latch(j, r);
       return;
@@ -966,9 +967,9 @@
   // ---- machines ------------------------------------------------------------------------------
 
   /** All machines that are lent, to whichever part. */
-  void lentAll(Collection<Lent> all) {
+  void lentAll(Collection<MachineAssignment> all) {
     Set<HostName> named = new HashSet<>();
-    for (Lent l : all) {
+    for (MachineAssignment l : all) {
       lent(l);
       named.add(l.host().name());
     }
@@ -979,7 +980,7 @@
     }
   }
 
-  void lent(Lent l) {
+  void lent(MachineAssignment l) {
     if (!l.part().equals(part)) {
       notLent(l.host().name());
       return;
@@ -1061,7 +1062,7 @@
 
   /** Takes a worker's report in and answers it, now or after the next commit. */
   void report(long reply, Report r, boolean commands) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     Host h = host(r.host());
     if (h.info == null) {
       h.info = new HostInfo(r.host(), r.type(), r.zone(), r.spot());
@@ -1101,7 +1102,7 @@
     }
     h.shows(r.token());
     h.lastHeard = now;
-    if (h.firstHeard == Mono.NEVER) {
+    if (h.firstHeard == MonotonicTime.NEVER) {
       h.firstHeard = now;
       h.idleSince = now;
     }
@@ -1382,7 +1383,7 @@
   }
 
   private void running(Host h, LiveTask l, TaskReport t) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     Job j = l.job;
     l.seen = true;
     l.state = t.state();
@@ -1405,7 +1406,7 @@
   }
 
   private void exited(Host h, LiveTask l, TaskReport t) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     Job j = l.job;
     switch (t.why()) {
       case DONE -> {
@@ -1430,7 +1431,7 @@
 
   /** Tells faulty machines from faulty jobs: a job that fails on many machines is at fault. */
   private void failed(Host h, Job j, Why why) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     ports.count("task.failed");
     j.failedOn.add(h.name);
     if (j.failedOn.size() > 2 || why == Why.UNKNOWN) {
@@ -1456,7 +1457,7 @@
   }
 
   private boolean sound(Host h) {
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     return h.lent
         && h.type() != null
         && liveness.fresh(h)
@@ -1470,7 +1471,7 @@
 
   private List<Job> waiting() {
     List<Job> l = new ArrayList<>();
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     for (Job j : jobs.values()) {
       if (j.queued() > 0
           && !j.inFlight
@@ -1851,7 +1852,7 @@
         can.add(t);
       }
     }
-    Mono now = ports.now();
+    MonotonicTime now = ports.now();
     can.sort(Comparator.<LiveTask>comparingDouble(t -> t.lost(now)).thenComparingInt(t -> t.index));
     List<LiveTask> take = new ArrayList<>();
     double cpus = 0;
@@ -1878,7 +1879,7 @@
 
   // ---- for the leader ------------------------------------------------------------------------
 
-  PartBeat beat() {
+  ShardReport beat() {
     List<HostName> retire = new ArrayList<>();
     List<HostName> spare = new ArrayList<>();
     List<HostName> back = new ArrayList<>();
@@ -1895,7 +1896,7 @@
       }
     }
     boolean queued = !ready() || jobs.values().stream().anyMatch(j -> j.queued() > 0);
-    return new PartBeat(
+    return new ShardReport(
         part, epoch, fenced, queued, liveness.hearing(), autoscaler.wants(), retire, spare, back);
   }
 }
--- a/src/main/java/shorecrank/coordination/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/StatusQueries.java
@@ -10,11 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import shorecrank.bookkeeping.JobRecord;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
+import shorecrank.storage.JobRecord;
 
 /**
  * Answers where a part's jobs stand. One transaction that only compares finds all records in
--- a/src/main/java/shorecrank/coordination/UserRequestHandler.java
+++ b/src/main/java/shorecrank/coordination/UserRequestHandler.java
@@ -10,15 +10,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import shorecrank.bookkeeping.JobRecord;
-import shorecrank.bookkeeping.JobRecord.Final;
 import shorecrank.config.NodeConfig;
 import shorecrank.coordination.PrerequisiteCheck.Result;
 import shorecrank.protocol.CloudMessages.HostType;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.PartId;
-import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
@@ -27,6 +25,8 @@
 import shorecrank.protocol.UserMessages;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.Final;
 
 /**
  * The users' requests. Any controller serves them from the store alone, so that no answer is older
@@ -218,8 +218,8 @@
         "POST",
         StoreMessages.MULTI,
         new Txn()
-            .guard(JobRecord.liveKey(spec.id()), Stamp.ABSENT)
-            .guard(JobRecord.finalKey(spec.id()), Stamp.ABSENT)
+            .guard(JobRecord.liveKey(spec.id()), Revision.ABSENT)
+            .guard(JobRecord.finalKey(spec.id()), Revision.ABSENT)
             .write(JobRecord.liveKey(spec.id()), value)
             .body(),
         CALL_MS,
@@ -252,7 +252,7 @@
   private sealed interface Found {
     Standing standing();
 
-    record Unfinished(JobRecord record, Stamp stamp) implements Found {
+    record Unfinished(JobRecord record, Revision stamp) implements Found {
       @Override
       public Standing standing() {
         return record.standing();
--- a/src/main/java/shorecrank/coordination/Usage.java
+++ b/src/main/java/shorecrank/coordination/UtilizationGauges.java
@@ -5,8 +5,8 @@
 import shorecrank.protocol.WorkerMessages.TaskState;
 
 /** What a part's processors do: where time goes while jobs wait. */
-final class Usage {
-  private Usage() {}
+final class UtilizationGauges {
+  private UtilizationGauges() {}
 
   static void tell(
       Ports ports, Collection<Host> hosts, Collection<Job> jobs, WorkerLiveness liveness) {
--- a/src/main/java/shorecrank/coordination/WorkerLiveness.java
+++ b/src/main/java/shorecrank/coordination/WorkerLiveness.java
@@ -5,18 +5,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import shorecrank.protocol.Ids.Mono;
-import shorecrank.protocol.PeerMessages.Hearing;
+import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.PeerMessages.WorkerReachability;
 
 /** Which of a part's machines its owner hears, and what their silence proves. */
 final class WorkerLiveness {
+  /** A worker gives a report up after 4 s and tries the next controller 1 s later. */
+  private static final long REDIRECT_MS = 5000;
+
   private final Ports ports;
   private final Collection<Host> hosts;
 
   /** When the part was granted: before it nobody could report here. */
-  private final Mono grantedAt;
+  private final MonotonicTime grantedAt;
 
-  WorkerLiveness(Ports ports, Collection<Host> hosts, Mono grantedAt) {
+  WorkerLiveness(Ports ports, Collection<Host> hosts, MonotonicTime grantedAt) {
     this.ports = ports;
     this.hosts = hosts;
     this.grantedAt = grantedAt;
@@ -40,7 +43,7 @@
   }
 
   /** Whom this owner should hear and does not, for the leader to compare with what others hear. */
-  Hearing hearing() {
+  WorkerReachability hearing() {
     int expected = 0;
     int unheard = 0;
     Map<String, int[]> byZone = new TreeMap<>();
@@ -62,20 +65,25 @@
             deafTo.add(zone);
           }
         });
-    return new Hearing(expected, unheard, deafTo);
+    return new WorkerReachability(expected, unheard, deafTo);
   }
 
-  /** Its next report should have come by now. */
+  /**
+   * Its next report should have come by now. A worker whose report was lost with the last owner
+   * gives it up and turns to another controller first, so a new owner waits for that too.
+   */
   private boolean overdue(Host h) {
-    return silentMs(h) > ports.config.workers().reportS() * 1250 + 2000;
+    long redirect = h.lastHeard.before(grantedAt) ? REDIRECT_MS : 0;
+    return silentMs(h) > ports.config.workers().reportS() * 1250 + 2000 + redirect;
   }
 
   /** When a silent machine's worker has surely killed its tasks. */
   boolean leaseOut(Host h) {
-    Mono from = h.lastHeard;
+    MonotonicTime from = h.lastHeard;
     if (!h.confirmed) {
       // An earlier owner may have gone on renewing it until its grace was over.
-      Mono quiet = grantedAt.plus(ports.tuning.graceMs() + ports.tuning.graceMs() / 500L + 1000L);
+      MonotonicTime quiet =
+          grantedAt.plus(ports.tuning.graceMs() + ports.tuning.graceMs() / 500L + 1000L);
       from = from.before(quiet) ? quiet : from;
     }
     double lease = ports.config.workers().leaseS() * 1000;
@@ -83,7 +91,7 @@
   }
 
   long silentMs(Host h) {
-    Mono from = h.lastHeard.before(grantedAt) ? grantedAt : h.lastHeard;
+    MonotonicTime from = h.lastHeard.before(grantedAt) ? grantedAt : h.lastHeard;
     return ports.now().since(from);
   }
 
--- a/src/main/java/shorecrank/daemon/Rehearsal.java
+++ b/src/main/java/shorecrank/daemon/ClassArchiveTraining.java
@@ -16,10 +16,10 @@
  * the classes it needs are loaded and the JVM can archive them. Start-up then costs a fraction of
  * the processor time.
  */
-final class Rehearsal {
+final class ClassArchiveTraining {
   private static final int TRIES = 5;
 
-  private Rehearsal() {}
+  private ClassArchiveTraining() {}
 
   static void run() throws Exception {
     int[] ports = start(TRIES);
--- a/src/main/java/shorecrank/daemon/Main.java
+++ b/src/main/java/shorecrank/daemon/Main.java
@@ -85,7 +85,7 @@
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     if (parsed.hasMatchedOption("--rehearse")) {
       try {
-        Rehearsal.run();
+        ClassArchiveTraining.run();
       } catch (Exception e) {
         // Threads that were started would keep a process alive that has failed, and a build
         // waiting.
--- a/src/main/java/shorecrank/protocol/Ids.java
+++ b/src/main/java/shorecrank/protocol/Ids.java
@@ -130,10 +130,10 @@
   }
 
   /** Revision of a key's last change in the state service; 0 means the key does not exist. */
-  public record Stamp(long value) {
-    public static final Stamp ABSENT = new Stamp(0);
+  public record Revision(long value) {
+    public static final Revision ABSENT = new Revision(0);
 
-    public boolean after(Stamp o) {
+    public boolean after(Revision o) {
       return value > o.value;
     }
 
@@ -158,23 +158,23 @@
   public record TaskRun(JobId job, int index, Attempt attempt) {}
 
   /** A point on this process's steady clock. */
-  public record Mono(long ms) implements Comparable<Mono> {
-    public static final Mono NEVER = new Mono(Long.MIN_VALUE / 4);
+  public record MonotonicTime(long ms) implements Comparable<MonotonicTime> {
+    public static final MonotonicTime NEVER = new MonotonicTime(Long.MIN_VALUE / 4);
 
-    public Mono plus(long millis) {
-      return new Mono(ms + millis);
+    public MonotonicTime plus(long millis) {
+      return new MonotonicTime(ms + millis);
     }
 
-    public long since(Mono earlier) {
+    public long since(MonotonicTime earlier) {
       return ms - earlier.ms;
     }
 
-    public boolean before(Mono o) {
+    public boolean before(MonotonicTime o) {
       return ms < o.ms;
     }
 
     @Override
-    public int compareTo(Mono o) {
+    public int compareTo(MonotonicTime o) {
       return Long.compare(ms, o.ms);
     }
   }
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -37,8 +37,8 @@
   private static final int MAX_COUNT = Integer.MAX_VALUE;
   private static final long MAX_LEASE_MS = 86_400_000;
 
-  /** So many confirmed cancellations at most are told of in one message. */
-  public static final int MAX_CONFIRMED = 2000;
+  /** So many confirmed cancellations are told of in one message if the asker names no number. */
+  public static final int DEFAULT_CONFIRMED = 2000;
 
   /** So many jobs at most are asked for in one message. */
   public static final int MAX_ASKED = 400;
@@ -46,30 +46,30 @@
   /** A machine somebody saw, or that is lent. */
   public record HostInfo(HostName name, String type, String zone, boolean spot) {}
 
-  public record Want(Offer offer, int count) {}
+  public record CapacityRequest(Offer offer, int count) {}
 
   /** Of the machines that an owner should hear, how many it does not, and where they are most. */
-  public record Hearing(int expected, int unheard, List<String> deafTo) {}
+  public record WorkerReachability(int expected, int unheard, List<String> deafTo) {}
 
   /** What an owner says of one part. {@code fenced} is an epoch that refused it, or NONE. */
-  public record PartBeat(
+  public record ShardReport(
       PartId part,
       Epoch epoch,
       Epoch fenced,
       boolean queued,
-      Hearing hearing,
-      List<Want> wants,
+      WorkerReachability hearing,
+      List<CapacityRequest> wants,
       List<HostName> retire,
       List<HostName> spare,
       List<HostName> handedBack) {
     /** Of an owner that can't take the part under its present epoch. */
-    public static PartBeat refused(PartId part, Epoch epoch) {
-      return new PartBeat(
+    public static ShardReport refused(PartId part, Epoch epoch) {
+      return new ShardReport(
           part,
           epoch,
           epoch,
           true,
-          new Hearing(0, 0, List.of()),
+          new WorkerReachability(0, 0, List.of()),
           List.of(),
           List.of(),
           List.of(),
@@ -78,12 +78,12 @@
   }
 
   /** {@code strays} counts, by part, workers that lately came here and were sent to its owner. */
-  public record Beat(
+  public record Heartbeat(
       NodeLabel from,
       WriterId writer,
       boolean stateOk,
       long lendVersion,
-      List<PartBeat> parts,
+      List<ShardReport> parts,
       List<HostInfo> seen,
       Map<PartId, Integer> strays) {}
 
@@ -91,31 +91,31 @@
 
   public record OwnerInfo(PartId part, NodeLabel label, Epoch epoch) {}
 
-  public record Lent(HostInfo host, PartId part, long ageMs, boolean recall) {}
+  public record MachineAssignment(HostInfo host, PartId part, long ageMs, boolean recall) {}
 
   public record Blocked(Offer offer, long forMs) {}
 
   /**
    * {@code lent} is all that is lent if {@code whole}, else what changed since the asker's version.
    */
-  public record BeatAnswer(
+  public record HeartbeatAnswer(
       long term,
       boolean othersStateOk,
       List<Lease> leases,
       List<OwnerInfo> owners,
       long lendVersion,
       boolean whole,
-      List<Lent> lent,
+      List<MachineAssignment> lent,
       List<HostName> off,
       List<HostName> gone,
       List<Blocked> blocked) {}
 
-  public static ObjectNode write(Beat b) {
+  public static ObjectNode write(Heartbeat b) {
     ObjectNode n = Json.object();
     n.put("from", b.from.value()).put("writer", b.writer.value()).put("stateOk", b.stateOk);
     n.put("ver", b.lendVersion);
     ArrayNode ps = n.putArray("parts");
-    for (PartBeat p : b.parts) {
+    for (ShardReport p : b.parts) {
       ObjectNode o = ps.addObject();
       o.put("part", p.part.value()).put("epoch", p.epoch.value()).put("fenced", p.fenced.value());
       o.put("queued", p.queued);
@@ -123,7 +123,7 @@
       ArrayNode deaf = o.putArray("deafTo");
       p.hearing.deafTo.forEach(deaf::add);
       ArrayNode ws = o.putArray("wants");
-      for (Want w : p.wants) {
+      for (CapacityRequest w : p.wants) {
         offer(ws.addObject(), w.offer).put("count", w.count);
       }
       names(o.putArray("retire"), p.retire);
@@ -147,7 +147,7 @@
   }
 
   /** Null if malformed. */
-  public static Beat readBeat(JsonNode n) {
+  public static Heartbeat readHeartbeat(JsonNode n) {
     try {
       return beat(n);
     } catch (Malformed e) {
@@ -155,27 +155,28 @@
     }
   }
 
-  private static Beat beat(JsonNode n) {
+  private static Heartbeat beat(JsonNode n) {
     String from = Json.text(n.path("from"));
     String writer = Json.text(n.path("writer"));
     if (from.isEmpty() || writer.isEmpty()) {
       return null;
     }
-    List<PartBeat> parts = new ArrayList<>();
+    List<ShardReport> parts = new ArrayList<>();
     for (JsonNode p : n.path("parts")) {
-      List<Want> wants = new ArrayList<>();
+      List<CapacityRequest> wants = new ArrayList<>();
       p.path("wants")
-          .forEach(w -> wants.add(new Want(offer(w), (int) count(w, "count", MAX_COUNT))));
+          .forEach(
+              w -> wants.add(new CapacityRequest(offer(w), (int) count(w, "count", MAX_COUNT))));
       List<String> deafTo = new ArrayList<>();
       p.path("deafTo").forEach(z -> deafTo.add(z.asText()));
       parts.add(
-          new PartBeat(
+          new ShardReport(
               part(p),
               epoch(p, "epoch"),
               // What a record held that refused the owner, whatever it was.
               new Epoch(count(p, "fenced", Long.MAX_VALUE)),
               p.path("queued").asBoolean(),
-              new Hearing(
+              new WorkerReachability(
                   (int) count(p, "expected", MAX_COUNT),
                   (int) count(p, "unheard", MAX_COUNT),
                   deafTo),
@@ -189,7 +190,7 @@
     Map<PartId, Integer> strays = new HashMap<>();
     n.path("strays")
         .forEach(s -> strays.put(new PartId(s.path(0).asInt()), Math.max(0, s.path(1).asInt())));
-    return new Beat(
+    return new Heartbeat(
         new NodeLabel(from),
         new WriterId(writer),
         n.path("stateOk").asBoolean(),
@@ -199,7 +200,7 @@
         strays);
   }
 
-  public static ObjectNode write(BeatAnswer a) {
+  public static ObjectNode write(HeartbeatAnswer a) {
     ObjectNode n = Json.object();
     n.put("term", a.term).put("othersOk", a.othersStateOk).put("ver", a.lendVersion);
     ArrayNode ls = n.putArray("leases");
@@ -212,7 +213,7 @@
     owners(n.putArray("owners"), a.owners);
     n.put("whole", a.whole);
     ArrayNode hs = n.putArray("lent");
-    for (Lent l : a.lent) {
+    for (MachineAssignment l : a.lent) {
       host(hs.addObject(), l.host)
           .put("part", l.part.value())
           .put("age", l.ageMs)
@@ -228,7 +229,7 @@
   }
 
   /** Null if malformed. */
-  public static BeatAnswer readAnswer(JsonNode n) {
+  public static HeartbeatAnswer readAnswer(JsonNode n) {
     try {
       return answer(n);
     } catch (Malformed e) {
@@ -236,19 +237,21 @@
     }
   }
 
-  private static BeatAnswer answer(JsonNode n) {
+  private static HeartbeatAnswer answer(JsonNode n) {
     long term = count(n, "term", Long.MAX_VALUE);
     List<Lease> leases = new ArrayList<>();
     for (JsonNode l : n.path("leases")) {
       leases.add(new Lease(part(l), epoch(l, "epoch"), count(l, "ttlMs", MAX_LEASE_MS)));
     }
-    List<Lent> lent = new ArrayList<>();
+    List<MachineAssignment> lent = new ArrayList<>();
     for (JsonNode h : n.path("lent")) {
-      lent.add(new Lent(host(h), part(h), h.path("age").asLong(), h.path("recall").asBoolean()));
+      lent.add(
+          new MachineAssignment(
+              host(h), part(h), h.path("age").asLong(), h.path("recall").asBoolean()));
     }
     List<Blocked> blocked = new ArrayList<>();
     n.path("blocked").forEach(b -> blocked.add(new Blocked(offer(b), b.path("ms").asLong())));
-    return new BeatAnswer(
+    return new HeartbeatAnswer(
         term,
         n.path("othersOk").asBoolean(),
         leases,
@@ -267,9 +270,15 @@
    */
   public record Confirmed(long spanMs, List<JobId> ids, List<OwnerInfo> owners) {}
 
-  /** Asks for what the other has confirmed lately. */
-  public static ObjectNode confirmedWithin(long ms) {
-    return Json.object().put("withinMs", ms);
+  /** Asks for what the other has confirmed lately, and no more jobs than {@code most}. */
+  public static ObjectNode confirmedWithin(long ms, int most) {
+    ObjectNode n = Json.object().put("withinMs", ms);
+    return most > DEFAULT_CONFIRMED ? n.put("most", most) : n;
+  }
+
+  /** How many jobs the asker takes in one answer. */
+  public static int readConfirmedMost(JsonNode n) {
+    return (int) Math.max(DEFAULT_CONFIRMED, Math.min(MAX_COUNT, Json.count(n.path("most"))));
   }
 
   /** Negative if malformed. */
@@ -285,10 +294,10 @@
     return n;
   }
 
-  /** Null if malformed. */
-  public static Confirmed readConfirmed(JsonNode n) {
+  /** Null if malformed, or with more jobs than were asked for. */
+  public static Confirmed readConfirmed(JsonNode n, int most) {
     long span = Json.count(n.path("spanMs"));
-    if (span < 0 || !n.path("ids").isArray() || n.path("ids").size() > MAX_CONFIRMED) {
+    if (span < 0 || !n.path("ids").isArray() || n.path("ids").size() > most) {
       return null;
     }
     List<JobId> l = new ArrayList<>();
--- a/src/main/java/shorecrank/protocol/StoreMessages.java
+++ b/src/main/java/shorecrank/protocol/StoreMessages.java
@@ -7,20 +7,23 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import shorecrank.protocol.Ids.Stamp;
+import shorecrank.protocol.Ids.Revision;
 
 /** Messages to and from the state service. */
 public final class StoreMessages {
   private StoreMessages() {}
 
-  public record Entry(String key, JsonNode value, Stamp stamp, long hold) {}
+  public record Entry(String key, JsonNode value, Revision stamp, long hold) {}
 
   /** A change seen by a watch; value is null if the key was dropped. */
-  public record Change(String key, JsonNode value, Stamp stamp) {}
+  public record Change(String key, JsonNode value, Revision stamp) {}
 
   public static final String GRANTS = "/grants";
   public static final String MULTI = "/multi";
 
+  /** A transaction is filled up to here: the service takes 64 KiB, guards included. */
+  public static final int TXN_FILL_BYTES = 56 * 1024;
+
   /** Whether a status says that the request was not carried out and never will be. */
   public static boolean notCarriedOut(int status) {
     return status == 400 || status == 409 || status == 429 || status == 503;
@@ -64,7 +67,7 @@
     private final ArrayNode guards = body.putArray("guards");
     private final ArrayNode apply = body.putArray("apply");
 
-    public Txn guard(String key, Stamp stamp) {
+    public Txn guard(String key, Revision stamp) {
       guards.addObject().put("k", key).put("stamp", stamp.value());
       return this;
     }
@@ -102,7 +105,7 @@
     return new Entry(
         Json.text(n.path("k")),
         n.path("data"),
-        new Stamp(n.path("stamp").asLong()),
+        new Revision(n.path("stamp").asLong()),
         n.path("hold").asLong());
   }
 
@@ -125,7 +128,7 @@
   public static List<Change> changes(JsonNode n) {
     List<Change> l = new ArrayList<>();
     for (JsonNode c : n.path("news")) {
-      Stamp s = new Stamp(c.path("stamp").asLong());
+      Revision s = new Revision(c.path("stamp").asLong());
       if (c.has("write")) {
         l.add(new Change(c.path("write").asText(), c.path("data"), s));
       } else if (c.has("drop")) {
--- a/src/main/java/shorecrank/bookkeeping/Budget.java
+++ b/src/main/java/shorecrank/storage/Budget.java
@@ -1,12 +1,12 @@
-package shorecrank.bookkeeping;
+package shorecrank.storage;
 
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 
 /** A token bucket holding at most one second's worth. */
 public final class Budget {
   private double rate;
   private double tokens;
-  private Mono at;
+  private MonotonicTime at;
 
   public Budget(double rate) {
     this.rate = rate;
@@ -21,18 +21,18 @@
     return rate;
   }
 
-  public boolean has(double n, Mono now) {
+  public boolean has(double n, MonotonicTime now) {
     refill(now);
     // More than a second's worth passes on a full bucket: it is paid off afterwards.
     return tokens >= Math.min(n, rate);
   }
 
-  public void take(double n, Mono now) {
+  public void take(double n, MonotonicTime now) {
     refill(now);
     tokens -= n;
   }
 
-  public boolean tryTake(double n, Mono now) {
+  public boolean tryTake(double n, MonotonicTime now) {
     if (!has(n, now)) {
       return false;
     }
@@ -45,7 +45,7 @@
     tokens = Math.min(tokens, 0);
   }
 
-  private void refill(Mono now) {
+  private void refill(MonotonicTime now) {
     if (at != null) {
       tokens = Math.min(rate, tokens + rate * Math.max(0, now.since(at)) / 1000.0);
     }
--- a/src/main/java/shorecrank/bookkeeping/Packed.java
+++ b/src/main/java/shorecrank/storage/CompressedJson.java
@@ -1,4 +1,4 @@
-package shorecrank.bookkeeping;
+package shorecrank.storage;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
@@ -10,11 +10,11 @@
 import shorecrank.protocol.Json;
 
 /** JSON deflated into a text, so that a job of many scattered tasks fits into one value. */
-final class Packed {
+final class CompressedJson {
   /** No record of ours is longer; a value that says so makes no sense. */
   private static final int MAX_BYTES = 8 << 20;
 
-  private Packed() {}
+  private CompressedJson() {}
 
   static String pack(JsonNode n) {
     Deflater deflater = new Deflater(Deflater.DEFAULT_COMPRESSION, true);
--- a/src/main/java/shorecrank/bookkeeping/JobRecord.java
+++ b/src/main/java/shorecrank/storage/JobRecord.java
@@ -1,4 +1,4 @@
-package shorecrank.bookkeeping;
+package shorecrank.storage;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -83,7 +83,7 @@
     ObjectNode n = head();
     ArrayNode d = doneRuns();
     if (live.size() > PACK_ABOVE || d.size() > 4 * PACK_ABOVE) {
-      n.put("z", Packed.pack(columns(d)));
+      n.put("z", CompressedJson.pack(columns(d)));
     } else {
       n.set("d", d);
       ArrayNode l = n.putArray("l");
@@ -141,7 +141,7 @@
       columns.set(0, TextNode.valueOf(bits));
     }
     columns.add(spec.write());
-    return head().put("y", Packed.pack(columns));
+    return head().put("y", CompressedJson.pack(columns));
   }
 
   /** Ranges by column, their firsts as gaps: what is alike stands together and packs well. */
@@ -181,7 +181,7 @@
       return null;
     }
     JsonNode packed = n.path(n.has("y") ? "y" : "z");
-    JsonNode columns = packed.isTextual() ? Packed.unpack(packed.textValue()) : null;
+    JsonNode columns = packed.isTextual() ? CompressedJson.unpack(packed.textValue()) : null;
     if (columns != null && columns.isMissingNode()) {
       return null;
     }
--- a/src/main/java/shorecrank/transport/HttpServer.java
+++ b/src/main/java/shorecrank/transport/HttpServer.java
@@ -40,9 +40,6 @@
   /** Also answered in a crowd: a controller that is full is not a dead one. */
   private static final String HEALTH = "/healthz";
 
-  /** As many may want to connect at one moment as there are machines and users. */
-  private static final int BACKLOG = 2048;
-
   /** Connections beyond the limit that are still told so, as a share of it. */
   private static final double CROWD = 0.06;
 
@@ -72,7 +69,8 @@
     new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        // All may want to connect at one moment.
+        .option(ChannelOption.SO_BACKLOG, maxOpen)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
--- a/src/main/java/shorecrank/transport/Runtime.java
+++ b/src/main/java/shorecrank/transport/Runtime.java
@@ -31,7 +31,7 @@
 import shorecrank.coordination.Core;
 import shorecrank.coordination.Input;
 import shorecrank.coordination.Output;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Json;
 
@@ -141,7 +141,9 @@
     List<Output> out;
     long began = nanos.nanoTime();
     try {
-      out = core.step(in, new Mono(nanos.nanoTime() / 1_000_000), wall.time(), entropy.nextLong());
+      out =
+          core.step(
+              in, new MonotonicTime(nanos.nanoTime() / 1_000_000), wall.time(), entropy.nextLong());
     } catch (RuntimeException | Error e) {
       // After a failure half way its picture can't be trusted: a fresh process rebuilds it.
       LOG.error("core failed on {}", in.getClass().getSimpleName(), e);
--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import shorecrank.bookkeeping.JobRecord;
+import shorecrank.storage.JobRecord;
 
 /** Watches the rules at every step, from outside the service. */
 final class Checker {
--- a/src/test/java/shorecrank/sim/CloudSim.java
+++ b/src/test/java/shorecrank/sim/CloudSim.java
@@ -38,6 +38,9 @@
   int capacity = 100;
   int bootFails;
 
+  /** The most machines that were there at one moment. */
+  int most;
+
   CloudSim(World world) {
     this.world = world;
     view();
@@ -74,6 +77,7 @@
     m.spot = spot;
     m.since = world.sim.now;
     machines.put(m.name, m);
+    most = Math.max(most, machines.size());
     if (bootFails > 0 && bootS > 0) {
       bootFails--;
       return m.name;
--- /dev/null
+++ b/src/test/java/shorecrank/sim/Measurements.java
@@ -0,0 +1,66 @@
+package shorecrank.sim;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.coordination.Input;
+import shorecrank.coordination.Output;
+import shorecrank.protocol.Json;
+
+/** Processor time of the controllers' steps and the sizes of what they send, by kind. */
+final class Measurements {
+  private static final double NANOS_PER_MS = 1e6;
+
+  /** Steps of one kind. */
+  private static final class Steps {
+    long count;
+    long nanos;
+    long longest;
+  }
+
+  private final Map<String, Steps> steps = new TreeMap<>();
+  private final Map<String, Integer> largest = new TreeMap<>();
+
+  void step(Input in, long nanos, List<Output> outputs) {
+    Steps s = steps.computeIfAbsent(kind(in), k -> new Steps());
+    s.count++;
+    s.nanos += nanos;
+    s.longest = Math.max(s.longest, nanos);
+    for (Output o : outputs) {
+      if (o instanceof Output.Call c && c.body() != null) {
+        message(c.path().split("\\?")[0], Json.bytes(c.body()).length);
+      } else if (o instanceof Output.Reply r && r.body() != null) {
+        message("answer to " + kind(in), Json.bytes(r.body()).length);
+      }
+    }
+  }
+
+  private void message(String kind, int bytes) {
+    largest.merge(kind.startsWith("/store/") ? "/store" : kind, bytes, Math::max);
+  }
+
+  private static String kind(Input in) {
+    if (in instanceof Input.Request r) {
+      return r.path().startsWith("/api") ? "/api" : r.path();
+    }
+    return in instanceof Input.Tick ? "round" : "answer";
+  }
+
+  int largestMessage(String kind) {
+    return largest.getOrDefault(kind, 0);
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder text = new StringBuilder();
+    steps.forEach(
+        (kind, s) ->
+            text.append(
+                String.format(
+                    "  steps %-18s %8d, mean %.3f ms, longest %.1f ms%n",
+                    kind, s.count, s.nanos / NANOS_PER_MS / s.count, s.longest / NANOS_PER_MS)));
+    largest.forEach(
+        (kind, bytes) -> text.append(String.format("  largest %-24s %7d bytes%n", kind, bytes)));
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/src/test/java/shorecrank/sim/ScaleTest.java
@@ -0,0 +1,100 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A fleet that is rented from nothing, assigned, heard and given tasks, while leader and owner end
+ * once each. Larger fleets run with {@code -Pscale}.
+ */
+class ScaleTest {
+  private static final int STATE_RPS = 250;
+  private static final int STATE_WRITES = 250;
+
+  /** Other controllers take no larger request. */
+  private static final int MAX_PEER_REQUEST = 512 * 1024;
+
+  private static final int TASKS_PER_JOB = 150;
+  private static final long OWNER_ENDS_MS = 90_000;
+  private static final long OWNER_BACK_MS = 4000;
+
+  @Test
+  void small() throws Exception {
+    play(600);
+  }
+
+  @Tag("scale")
+  @ParameterizedTest
+  @ValueSource(ints = {1000, 2000, 4200})
+  void large(int machines) throws Exception {
+    play(machines);
+  }
+
+  private static void play(int machines) throws Exception {
+    int jobs = 2 * machines / TASKS_PER_JOB;
+    String text =
+        String.format(
+            Locale.ROOT,
+            """
+            nodes 5
+            zones a,b,c
+            workers report=5 lease=31 cancel=61
+            state rps=%1$d writes=%2$d ops=48 value=16
+            type c8 cpus=8 mem=32 boot=20 zones=a,b,c
+            capacity %3$d
+            at 5 burst 1000 0.2 %4$.1f c pieces=%5$d cpus=8 mem=8 run=70
+            at 60 crash leader 4
+            until 240
+            """,
+            STATE_RPS,
+            STATE_WRITES,
+            machines,
+            5 + 0.2 * jobs,
+            TASKS_PER_JOB);
+    Scenario scenario = new Scenario("scale", text);
+    scenario.measurements = new Measurements();
+    double[] heapMb = new double[1];
+    scenario.prepare = w -> w.sim.at(OWNER_ENDS_MS, () -> heapMb[0] = endOwner(w));
+    assertEquals(List.of(), scenario.play(1, false));
+    World world = scenario.world;
+    int done = world.results.size();
+    Store store = world.store;
+    System.out.printf(
+        "%d machines: rented %d, tasks done %d, most a second: %d requests, %d changes;"
+            + " heap of the owner %.1f MB%n%s",
+        machines,
+        world.cloud.most,
+        done,
+        store.mostRequestsPerS,
+        store.mostChangesPerS,
+        heapMb[0],
+        scenario.measurements);
+    assertTrue(world.cloud.most >= machines * 0.98, "rented " + world.cloud.most);
+    assertTrue(world.checker.starts >= machines, "starts " + world.checker.starts);
+    assertEquals(0, store.tooLarge, "transactions refused for their size");
+    assertTrue(store.mostChangesPerS <= 2 * STATE_WRITES, "changes " + store.mostChangesPerS);
+    assertTrue(store.mostRequestsPerS <= 2 * STATE_RPS, "requests " + store.mostRequestsPerS);
+    assertTrue(scenario.measurements.largestMessage("/peer/beat") < MAX_PEER_REQUEST);
+  }
+
+  /** Ends the owner; returns what it held: the heap in use with it and without it. */
+  private static double endOwner(World world) {
+    World.Node owner = world.owner(0);
+    long with = usedAfterCollection();
+    owner.crash(OWNER_BACK_MS);
+    return (with - usedAfterCollection()) / 1e6;
+  }
+
+  private static long usedAfterCollection() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import shorecrank.config.NodeConfig;
 import shorecrank.config.Tuning;
 import shorecrank.config.TuningFile;
@@ -27,6 +28,15 @@
   private final List<String> failures = new ArrayList<>();
   private String mustBreak;
 
+  /** Where it was played last. */
+  World world;
+
+  /** Takes what steps and messages cost; null if nobody asks. */
+  Measurements measurements;
+
+  /** Called with the world before it runs, for what no line can say. */
+  Consumer<World> prepare = w -> {};
+
   Scenario(String name, String text) {
     this.name = name;
     this.lines = Arrays.stream(text.split("\n")).map(String::trim).toList();
@@ -104,6 +114,8 @@
     Tuning t = tuning.isEmpty() ? TuningFile.defaults() : TuningFile.read(tuning.toString());
     World w = new World(seed, t);
     w.verbose = verbose;
+    w.measurements = measurements;
+    world = w;
     int nodes = 3;
     long until = 120_000;
     List<Runnable> boots = new ArrayList<>();
@@ -193,6 +205,7 @@
     }
     w.open(nodes);
     boots.forEach(Runnable::run);
+    prepare.accept(w);
     w.sim.run(until);
     w.checker.end();
     List<String> all = new ArrayList<>(w.checker.broken);
--- a/src/test/java/shorecrank/sim/Store.java
+++ b/src/test/java/shorecrank/sim/Store.java
@@ -38,6 +38,17 @@
   int valueKb = 16;
   int requests;
 
+  /** Transactions refused for their size. */
+  int tooLarge;
+
+  /** The most requests, and changes, that came within one second of the clock. */
+  int mostRequestsPerS;
+
+  int mostChangesPerS;
+  private long second = -1;
+  private int requestsThisSecond;
+  private int changesThisSecond;
+
   Store(Sim sim) {
     this.sim = sim;
     sim.after(50, this::expire);
@@ -125,6 +136,7 @@
   /** Carries a request out now; refused ones (a single controller's 503) never get here. */
   void handle(String method, String path, JsonNode body, BiConsumer<Integer, JsonNode> answer) {
     requests++;
+    count(body == null ? 0 : body.path("apply").size());
     String[] parts = path.split("\\?", 2);
     Map<String, String> q = new HashMap<>();
     if (parts.length > 1) {
@@ -181,6 +193,17 @@
     }
   }
 
+  private void count(int changes) {
+    if (sim.now / 1000 != second) {
+      second = sim.now / 1000;
+      requestsThisSecond = 0;
+      changesThisSecond = 0;
+    }
+    mostRequestsPerS = Math.max(mostRequestsPerS, ++requestsThisSecond);
+    changesThisSecond += changes;
+    mostChangesPerS = Math.max(mostChangesPerS, changesThisSecond);
+  }
+
   private static ObjectNode entry(String k, Item i) {
     ObjectNode n = Json.object().put("k", k);
     n.set("data", i.data);
@@ -211,6 +234,7 @@
     if (apply.size() > txnOps
         || body.path("guards").size() > 4 * txnOps
         || Json.bytes(body).length > 65536) {
+      tooLarge++;
       answer.accept(400, Json.error("too large"));
       return;
     }
@@ -220,6 +244,7 @@
         return;
       }
       if (o.has("write") && Json.bytes(o.path("data")).length > valueKb * 1024) {
+        tooLarge++;
         answer.accept(400, Json.error("value too large"));
         return;
       }
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -16,7 +16,7 @@
 import shorecrank.coordination.Input;
 import shorecrank.coordination.Output;
 import shorecrank.protocol.Ids.Epoch;
-import shorecrank.protocol.Ids.Mono;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
@@ -167,8 +167,8 @@
           new Input.Request(id, peer, method, path, body == null ? new byte[0] : Json.bytes(body)));
     }
 
-    private Mono steady() {
-      return new Mono((long) (sim.now * clock) + clockOffset);
+    private MonotonicTime steady() {
+      return new MonotonicTime((long) (sim.now * clock) + clockOffset);
     }
 
     /** The epochs of the shards that it may command now. */
@@ -177,8 +177,14 @@
     }
 
     private void step(Input in) {
-      Mono now = steady();
-      for (Output o : core.step(in, now, 1_000_000_000_000L + sim.now, sim.random.nextLong())) {
+      MonotonicTime now = steady();
+      long began = System.nanoTime();
+      List<Output> outputs =
+          core.step(in, now, 1_000_000_000_000L + sim.now, sim.random.nextLong());
+      if (measurements != null) {
+        measurements.step(in, System.nanoTime() - began, outputs);
+      }
+      for (Output o : outputs) {
         if (o instanceof Output.Reply r) {
           BiConsumer<Integer, JsonNode> to = replies.remove(r.reply());
           if (to != null) {
@@ -271,6 +277,10 @@
   final Set<String> unheard = new HashSet<>();
   Tuning tuning;
   boolean verbose;
+
+  /** What steps and messages cost, if that is to be measured. */
+  Measurements measurements;
+
   double reportS = 1.5;
   double leaseS = 10;
   double cancelS = 40;
--- a/src/test/java/shorecrank/bookkeeping/ProductionFormsTest.java
+++ b/src/test/java/shorecrank/storage/ProductionFormsTest.java
@@ -1,4 +1,4 @@
-package shorecrank.bookkeeping;
+package shorecrank.storage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -132,7 +132,7 @@
   @ValueSource(strings = {PRODUCTION, PIPELINES})
   void messages(String file) throws Exception {
     for (JsonNode n : of(file, "ask /peer/beat")) {
-      assertEquals(n, Json.parse(Json.bytes(PeerMessages.write(PeerMessages.readBeat(n)))));
+      assertEquals(n, Json.parse(Json.bytes(PeerMessages.write(PeerMessages.readHeartbeat(n)))));
     }
     for (JsonNode n : of(file, "answer /peer/beat")) {
       assertEquals(n, Json.parse(Json.bytes(PeerMessages.write(PeerMessages.readAnswer(n)))));
@@ -165,7 +165,7 @@
           List.of(IntNode.valueOf(-1), TextNode.valueOf("x"), NullNode.instance)) {
         ObjectNode n = beat.deepCopy();
         ((ObjectNode) n.path("parts").path(0)).set(field, value);
-        assertNull(PeerMessages.readBeat(n), field + " " + value);
+        assertNull(PeerMessages.readHeartbeat(n), field + " " + value);
       }
     }
     ObjectNode answer =
@@ -185,7 +185,7 @@
     }
     ObjectNode confirmed = of(PIPELINES, "answer /peer/confirmed").get(0).deepCopy();
     confirmed.putArray("owners").addObject().put("part", 0).put("label", "").put("epoch", 9);
-    assertNull(PeerMessages.readConfirmed(confirmed));
+    assertNull(PeerMessages.readConfirmed(confirmed, PeerMessages.DEFAULT_CONFIRMED));
   }
 
   /** Since b9fa1f3 the answer also names owners; what it held before is the same. */
@@ -193,10 +193,14 @@
   void confirmedCancellations() throws Exception {
     for (JsonNode n : of(PIPELINES, "ask /peer/confirmed")) {
       long within = PeerMessages.readConfirmedWithin(n);
-      assertEquals(n, Json.parse(Json.bytes(PeerMessages.confirmedWithin(within))));
+      assertEquals(
+          n,
+          Json.parse(
+              Json.bytes(PeerMessages.confirmedWithin(within, PeerMessages.DEFAULT_CONFIRMED))));
     }
     for (JsonNode n : of(PIPELINES, "answer /peer/confirmed")) {
-      ObjectNode ours = PeerMessages.write(PeerMessages.readConfirmed(n));
+      ObjectNode ours =
+          PeerMessages.write(PeerMessages.readConfirmed(n, PeerMessages.DEFAULT_CONFIRMED));
       assertTrue(ours.remove("owners").isEmpty());
       assertEquals(n, Json.parse(Json.bytes(ours)));
     }
