--- /dev/null
+++ b/src/main/java/shorecrank/client/ControllerClient.java
@@ -0,0 +1,100 @@
+package shorecrank.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import shorecrank.protocol.Json;
+
+/**
+ * Asks controllers on their peer addresses, one after another, until one answers or the time is
+ * over.
+ */
+final class ControllerClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+  private static final long RETRY_MS = 500;
+  private static final int UNAVAILABLE = 503;
+
+  /** An answer; the status is an HTTP status. */
+  record Answer(int status, JsonNode body) {
+    /** The one line that says why something was refused. */
+    String reason() {
+      String text = Json.text(body.path("text"));
+      return text.isEmpty() ? Json.text(body.path("error")) : text;
+    }
+  }
+
+  /** Nobody could tell. */
+  static final class Unknown extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Unknown(String reason) {
+      super(reason);
+    }
+  }
+
+  private final HttpClient http =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+  private final List<URI> controllers;
+  private final Duration patience;
+
+  ControllerClient(List<URI> controllers, Duration patience) {
+    this.controllers = controllers;
+    this.patience = patience;
+  }
+
+  /** Sends the same request until some controller answers it. */
+  Answer post(String path, JsonNode body) throws Unknown {
+    long end = System.nanoTime() + patience.toNanos();
+    String reason = "";
+    while (true) {
+      for (URI controller : controllers) {
+        try {
+          Answer answer = send(controller, path, body);
+          if (answer.status() != UNAVAILABLE) {
+            return answer;
+          }
+          reason = Json.text(answer.body().path("reason"));
+        } catch (IOException e) {
+          reason = controller.getAuthority() + " does not answer";
+        }
+      }
+      if (System.nanoTime() > end) {
+        throw new Unknown(reason);
+      }
+      pause(RETRY_MS);
+    }
+  }
+
+  private Answer send(URI controller, String path, JsonNode body) throws IOException {
+    HttpRequest request =
+        HttpRequest.newBuilder(controller.resolve(path))
+            .timeout(ANSWER_TIMEOUT)
+            .POST(HttpRequest.BodyPublishers.ofByteArray(Json.bytes(body)))
+            .build();
+    try {
+      HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+      return new Answer(response.statusCode(), Json.parse(response.body()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  static void pause(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/client/RolloutCommand.java
@@ -0,0 +1,124 @@
+package shorecrank.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintWriter;
+import java.util.UUID;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import shorecrank.client.ControllerClient.Answer;
+import shorecrank.client.ControllerClient.Unknown;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.RolloutMessages;
+import shorecrank.protocol.RolloutMessages.Order;
+import shorecrank.protocol.RolloutMessages.OrderKind;
+
+/** Watches and steers the feature level of a fleet. */
+@Command(name = "rollout", description = "Watches and steers the feature level of a fleet.")
+final class RolloutCommand {
+  private static final int OK = 200;
+
+  @Command(name = "status", description = "Shows the level, the members and what is waited for.")
+  int status(@Mixin ClientOptions options) {
+    try {
+      Answer answer = options.client().post(RolloutMessages.STATUS, Json.object());
+      if (answer.status() == OK && !options.json()) {
+        print(answer.body(), options.out());
+        return ExitStatus.OK;
+      }
+      return options.show(answer, "");
+    } catch (Unknown e) {
+      return options.unknown(e);
+    }
+  }
+
+  @Command(name = "finalize", description = "Raises the level, once all members support it.")
+  int finalizeLevel(
+      @Mixin ClientOptions options,
+      @Option(
+              names = "--level",
+              paramLabel = "N",
+              description = "the level; by default the highest that the leader supports")
+          Integer level,
+      @Option(
+              names = "--id",
+              paramLabel = "ID",
+              description = "names this order: under one id it is carried out once")
+          String id) {
+    return order(options, OrderKind.FINALIZE, level, id);
+  }
+
+  @Command(
+      name = "downgrade",
+      description = "Puts records back into earlier forms, then lowers the level.")
+  int downgrade(
+      @Mixin ClientOptions options,
+      @Option(names = "--level", paramLabel = "N", description = "the level; by default 0")
+          Integer level,
+      @Option(
+              names = "--id",
+              paramLabel = "ID",
+              description = "names this order: under one id it is carried out once")
+          String id) {
+    return order(options, OrderKind.DOWNGRADE, level, id);
+  }
+
+  @Command(name = "abort", description = "Stops a rise or a fall; the level stays what it is.")
+  int abort(
+      @Mixin ClientOptions options,
+      @Option(
+              names = "--id",
+              paramLabel = "ID",
+              description = "names this order: under one id it is carried out once")
+          String id) {
+    return order(options, OrderKind.ABORT, null, id);
+  }
+
+  private static int order(ClientOptions options, OrderKind kind, Integer level, String id) {
+    if (level != null && level < 0) {
+      throw options.usage("--level must be 0 or more");
+    }
+    String named = id == null ? UUID.randomUUID().toString() : id;
+    Order order = new Order(named, kind, level == null ? -1 : level);
+    try {
+      Answer answer = options.client().post(RolloutMessages.ORDERS, RolloutMessages.write(order));
+      return options.show(answer, answer.reason());
+    } catch (Unknown e) {
+      if (!options.json()) {
+        options.complain(ExitStatus.UNKNOWN, "send the same order again with --id " + named);
+      }
+      return options.unknown(e);
+    }
+  }
+
+  private static void print(JsonNode status, PrintWriter out) {
+    String phase = Json.text(status.path("phase"));
+    out.printf("level %d, %s", status.path("level").asInt(), phase);
+    if (!phase.equals("stable")) {
+      out.printf(" to %d", status.path("target").asInt());
+    }
+    out.printf(", written at most %d%n", status.path("writeLevel").asInt());
+    boolean held = status.path("held").asBoolean();
+    boolean automatic = status.path("automatic").asBoolean();
+    out.printf(
+        "rises %s%n",
+        automatic && !held ? "by itself" : "by finalize only" + (held ? " (held back)" : ""));
+    String archive = Json.text(status.path("archive"));
+    out.printf("newest archive %s%n", archive.isEmpty() ? "none" : archive);
+    out.printf("%-16s %-14s %-8s %-12s %s%n", "MEMBER", "BUILD", "LEVELS", "HEARD", "SETTINGS");
+    for (JsonNode m : status.path("members")) {
+      boolean announces = m.has("lowest");
+      long heard = m.path("heardMsAgo").asLong();
+      out.printf(
+          "%-16s %-14s %-8s %-12s %s%n",
+          Json.text(m.path("label")),
+          announces ? Json.text(m.path("build")) : "-",
+          announces ? m.path("lowest") + "-" + m.path("highest") : "none",
+          heard < 0 ? "never" : "%.1f s ago".formatted(heard / 1000.0),
+          m.path("settingsDiffer").asBoolean() ? "DIFFER" : "ok");
+    }
+    for (JsonNode w : status.path("waitingFor")) {
+      out.println("waits for " + w.asText());
+    }
+  }
+}
--- a/src/main/java/shorecrank/config/TuningFile.java
+++ b/src/main/java/shorecrank/config/TuningFile.java
@@ -1,13 +1,10 @@
 package shorecrank.config;
 
-import com.google.protobuf.DescriptorProtos.DescriptorProto;
-import com.google.protobuf.DescriptorProtos.FieldDescriptorProto;
-import com.google.protobuf.DescriptorProtos.FileDescriptorProto;
-import com.google.protobuf.Descriptors;
 import com.google.protobuf.DynamicMessage;
-import com.google.protobuf.TextFormat;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.stream.Stream;
+import shorecrank.config.TextProto.Field;
 
 /** Reads the operators' settings in protobuf text format. */
 public final class TuningFile {
@@ -29,76 +26,37 @@
     IDLE_RETURN_S("idle_return_s", 1, 86_400, 15),
     CLEAR_S("clear_s", 1, 86_400, 30);
 
-    final String field;
-    final double min;
-    final double max;
-    final double unset;
+    private final Field field;
 
-    Setting(String field, double min, double max, double unset) {
-      this.field = field;
-      this.min = min;
-      this.max = max;
-      this.unset = unset;
+    Setting(String name, double min, double max, double unset) {
+      this.field = Field.number(name, min, max, unset);
     }
   }
 
+  /** What holds where nothing is set. */
   public static Tuning defaults() {
-    Map<Setting, Double> m = new EnumMap<>(Setting.class);
+    Map<Setting, Double> values = new EnumMap<>(Setting.class);
     for (Setting s : Setting.values()) {
-      m.put(s, s.unset);
+      values.put(s, s.field.unset());
     }
-    return tuning(m);
+    return tuning(values);
   }
 
+  /** Reads a file's text; what is not set has its default. */
   public static Tuning read(String text) throws NodeConfig.Invalid {
-    Map<Setting, Double> m = new EnumMap<>(Setting.class);
-    try {
-      DescriptorProto.Builder d = DescriptorProto.newBuilder().setName("Settings");
-      for (Setting s : Setting.values()) {
-        d.addField(
-            FieldDescriptorProto.newBuilder()
-                .setName(s.field)
-                .setNumber(s.ordinal() + 1)
-                .setLabel(FieldDescriptorProto.Label.LABEL_OPTIONAL)
-                .setType(FieldDescriptorProto.Type.TYPE_DOUBLE));
-      }
-      Descriptors.Descriptor type =
-          Descriptors.FileDescriptor.buildFrom(
-                  FileDescriptorProto.newBuilder()
-                      .setName("settings.proto")
-                      .setSyntax("proto2")
-                      .addMessageType(d)
-                      .build(),
-                  new Descriptors.FileDescriptor[0])
-              .findMessageTypeByName("Settings");
-      DynamicMessage.Builder b = DynamicMessage.newBuilder(type);
-      TextFormat.merge(text, b);
-      DynamicMessage msg = b.build();
-      for (Setting s : Setting.values()) {
-        Descriptors.FieldDescriptor f = type.findFieldByName(s.field);
-        double v = msg.hasField(f) ? (Double) msg.getField(f) : s.unset;
-        if (!(v >= s.min && v <= s.max)) {
-          throw new NodeConfig.Invalid(
-              s.field + " must be from " + number(s.min) + " to " + number(s.max));
-        }
-        m.put(s, v);
-      }
-    } catch (TextFormat.ParseException e) {
-      throw new NodeConfig.Invalid(e.getMessage().replace('\n', ' '));
-    } catch (Descriptors.DescriptorValidationException e) {
-      throw new IllegalStateException(e);
+    DynamicMessage message =
+        TextProto.parse("Settings", Stream.of(Setting.values()).map(s -> s.field).toList(), text);
+    Map<Setting, Double> values = new EnumMap<>(Setting.class);
+    for (Setting s : Setting.values()) {
+      values.put(s, s.field.numberOf(message));
     }
-    Tuning t = tuning(m);
+    Tuning t = tuning(values);
     if (t.renewMs() * 2 > t.leaseMs()) {
       throw new NodeConfig.Invalid("renew_ms must be at most half of lease_ms");
     }
     return t;
   }
 
-  private static String number(double d) {
-    return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
-  }
-
   private static Tuning tuning(Map<Setting, Double> m) {
     return new Tuning(
         m.get(Setting.PARTS).intValue(),
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -27,10 +27,15 @@
 import shorecrank.protocol.PeerMessages.MachineAssignment;
 import shorecrank.protocol.PeerMessages.OwnerInfo;
 import shorecrank.protocol.PeerMessages.ShardReport;
+import shorecrank.protocol.RolloutMessages;
+import shorecrank.protocol.RolloutMessages.Announcement;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages;
 import shorecrank.protocol.WorkerMessages.Report;
+import shorecrank.rollout.FeatureGate;
+import shorecrank.rollout.RolloutCoordinator;
+import shorecrank.rollout.RolloutSetup;
 
 /**
  * One controller as a state machine: inputs in, what to send, write and answer out. It holds no
@@ -57,6 +62,13 @@
   private final Ports ports;
   private final Election election;
   private final Leader leader;
+
+  /** What this controller announces; null if rollouts are not enabled. */
+  private final Announcement announcement;
+
+  private final RolloutCoordinator rollout;
+  private final RolloutRequestHandler rolloutRequests;
+  private final FeatureGate gate = new FeatureGate();
   private final UserRequestHandler userRequests;
   private final Cancellations cancellations;
   private final Map<PartId, ShardOwner> shardOwners = new TreeMap<>();
@@ -89,14 +101,38 @@
   private MonotonicTime catalogAt = new MonotonicTime(0);
   private MonotonicTime probeAt = new MonotonicTime(0);
 
+  /** A controller without rollouts: it writes and sends nothing above the lowest level. */
   public Core(NodeConfig config, Tuning tuning, WriterId writer) {
+    this(config, tuning, writer, null);
+  }
+
+  /**
+   * @param setup of rollouts; null if they are not enabled
+   */
+  public Core(NodeConfig config, Tuning tuning, WriterId writer, RolloutSetup setup) {
     this.ports = new Ports(config, tuning, writer);
-    this.election = new Election(ports);
-    this.leader = new Leader(ports, election);
+    this.announcement = setup == null ? null : setup.announcement();
+    this.election = new Election(ports, setup == null ? null : announcement.supported());
+    this.rollout = setup == null ? null : coordinator(setup);
+    this.rolloutRequests = new RolloutRequestHandler(ports, election, rollout);
+    this.leader = new Leader(ports, election, rollout);
     this.cancellations = new Cancellations(ports, this::learnCancelled, this::owner);
     this.userRequests = new UserRequestHandler(ports, cancellations, this::askOwner, this::relay);
   }
 
+  private RolloutCoordinator coordinator(RolloutSetup setup) {
+    List<NodeLabel> members = new ArrayList<>();
+    members.add(ports.config.label());
+    ports.config.members().forEach(m -> members.add(m.label()));
+    return new RolloutCoordinator(
+        new RolloutPorts(ports),
+        election,
+        setup.settings(),
+        announcement,
+        members,
+        ports.tuning.renewMs());
+  }
+
   /**
    * One step.
    *
@@ -130,6 +166,9 @@
   private void tick(Input.Tick t) {
     MonotonicTime now = ports.now();
     election.tick();
+    if (rollout != null) {
+      rollout.tick();
+    }
     leader.tick();
     if (!beating && !now.before(beatAt)) {
       beat();
@@ -270,6 +309,9 @@
       case PeerMessages.ASK -> only("POST", r, () -> peerAsk(r));
       case PeerMessages.CONFIRMED -> only("POST", r, () -> peerConfirmed(r));
       case PeerMessages.RELAY -> only("POST", r, () -> relayed(r));
+      case RolloutMessages.STATUS -> rolloutRequests.status(r);
+      case RolloutMessages.ORDERS -> only("POST", r, () -> rolloutRequests.order(r));
+      case RolloutMessages.KEYS -> only("POST", r, () -> rolloutRequests.keys(r));
       case PeerMessages.NUDGE ->
           only(
               "POST",
@@ -513,7 +555,14 @@
     }
     Heartbeat b =
         new Heartbeat(
-            ports.config.label(), ports.writer, ports.stateOk(), lendVersion, parts, met, strays());
+            ports.config.label(),
+            ports.writer,
+            ports.stateOk(),
+            lendVersion,
+            parts,
+            met,
+            strays(),
+            announcement);
     if (election.holding()) {
       HeartbeatAnswer a = leader.beat(b);
       if (a != null) {
@@ -602,6 +651,9 @@
 
   private void answered(HeartbeatAnswer a, MonotonicTime sent) {
     answeredAt = ports.now();
+    if (announcement != null) {
+      gate.observe(a.rollout());
+    }
     othersStateOk = a.othersStateOk() || !election.holding();
     othersAt = ports.now();
     owners.clear();
@@ -638,7 +690,7 @@
       }
       refused.remove(l.part());
       if (s == null) {
-        s = new ShardOwner(ports, cancellations, l.part(), l.epoch(), ports.now());
+        s = new ShardOwner(ports, cancellations, gate, l.part(), l.epoch(), ports.now());
         s.catalog(catalog);
         s.lentAll(lent.values());
         s.load();
@@ -721,7 +773,7 @@
                 "POST",
                 StoreMessages.MULTI,
                 new StoreMessages.Txn()
-                    .guard(Election.KEY, election.term())
+                    .guard(election.key(), election.term())
                     .write(CATALOG, body)
                     .body(),
                 2000,
--- a/src/main/java/shorecrank/coordination/Election.java
+++ b/src/main/java/shorecrank/coordination/Election.java
@@ -1,18 +1,39 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Json;
+import shorecrank.protocol.RolloutMessages.FeatureLevel;
+import shorecrank.protocol.RolloutMessages.LevelRange;
 import shorecrank.protocol.StoreMessages;
+import shorecrank.rollout.Feature;
+import shorecrank.rollout.Leadership;
 
 /**
  * Who leads: the process whose key hangs on a living grant. The key's stamp is the leader's term;
  * whatever the leader writes is guarded by it.
  */
-final class Election {
+final class Election implements Leadership {
   static final String KEY = "leader";
+
+  /**
+   * From the level of {@link Feature#PROTECTED_LEADERSHIP} on the grant hangs on this key, and
+   * {@link #KEY} stays for good and only names the leader: a version that knows no levels never
+   * finds the leadership vacant.
+   */
+  static final String PROTECTED_KEY = "leadership";
+
+  private static final String LABEL = "label";
+  private static final String WRITER = "writer";
+  private static final String MOVED_TO = "moved";
+  private static final String LEVEL = "level";
+
+  /** A controller that can't lead at the level in force looks again after so long. */
+  private static final int UNFIT_PAUSE_MS = 2000;
+
   private static final int CALL_MS = 1500;
 
   private enum Step {
@@ -33,8 +54,36 @@
   private MonotonicTime validUntil = MonotonicTime.NEVER;
   private MonotonicTime renewAt = MonotonicTime.NEVER;
 
-  Election(Ports ports) {
+  /** What this build supports; null if rollouts are not enabled here. */
+  private final LevelRange supported;
+
+  /** The level that the leader's key names; the lowest while the grant hangs on that key. */
+  private FeatureLevel level = FeatureLevel.LOWEST;
+
+  /** The revision of {@link #KEY} while the grant hangs on the other. */
+  private Revision namingRevision = Revision.ABSENT;
+
+  Election(Ports ports, LevelRange supported) {
     this.ports = ports;
+    this.supported = supported;
+  }
+
+  private boolean isProtected() {
+    return isProtected(level);
+  }
+
+  private static boolean isProtected(FeatureLevel level) {
+    return level.includes(Feature.PROTECTED_LEADERSHIP.level());
+  }
+
+  /** The key on which the leader's grant hangs. */
+  String key() {
+    return isProtected() ? PROTECTED_KEY : KEY;
+  }
+
+  @Override
+  public void guard(StoreMessages.Txn transaction) {
+    transaction.guard(key(), term);
   }
 
   NodeLabel leader() {
@@ -47,11 +96,13 @@
   }
 
   /** No other process can lead now, by our own clock. */
-  boolean leading() {
+  @Override
+  public boolean leading() {
     return step == Step.LEAD && ports.now().before(validUntil);
   }
 
-  Revision term() {
+  @Override
+  public Revision term() {
     return term;
   }
 
@@ -91,34 +142,67 @@
         (status, body) -> {
           if (status == 200) {
             StoreMessages.Entry e = StoreMessages.entry(body);
-            watchFrom = e.stamp().value();
-            seen(e.value(), e.stamp());
-            boolean ours = ports.config.label().equals(leader);
-            if (ours && e.hold() > 0) {
-              // The label is ours and the process is not: it has ended, so nobody need wait for
-              // its grant. Its late writes are refused, since the key's stamp moves on.
-              busy = true;
-              ports.state(
-                  "DELETE",
-                  StoreMessages.grant(e.hold()),
-                  null,
-                  CALL_MS,
-                  (s2, b2) -> again(s2 == 200 || s2 == 404 ? Step.CAMPAIGN : Step.READ, 20));
+            if (supported != null && PROTECTED_KEY.equals(Json.text(e.value().path(MOVED_TO)))) {
+              namingRevision = e.revision();
+              level = new FeatureLevel((int) Math.max(1, Json.count(e.value().path(LEVEL))));
+              readProtected();
               return;
             }
-            again(Step.WATCH, 0);
+            level = FeatureLevel.LOWEST;
+            found(e);
           } else if (status == 404) {
-            leader = null;
-            watchFrom = Math.max(watchFrom, StoreMessages.revision(body));
-            again(Step.CAMPAIGN, 0);
+            level = FeatureLevel.LOWEST;
+            vacant(body);
+          } else {
+            again(Step.READ, 500);
+          }
+        });
+  }
+
+  private void readProtected() {
+    ports.state(
+        "GET",
+        StoreMessages.key(PROTECTED_KEY),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status == 200) {
+            found(StoreMessages.entry(body));
+          } else if (status == 404) {
+            vacant(body);
           } else {
             again(Step.READ, 500);
           }
         });
   }
 
+  private void vacant(JsonNode body) {
+    leader = null;
+    watchFrom = Math.max(watchFrom, StoreMessages.revision(body));
+    again(Step.CAMPAIGN, 0);
+  }
+
+  private void found(StoreMessages.Entry e) {
+    watchFrom = e.revision().value();
+    seen(e.value(), e.revision());
+    boolean ours = ports.config.label().equals(leader);
+    if (!ours || e.hold() <= 0) {
+      again(Step.WATCH, 0);
+      return;
+    }
+    // The label is ours and the process is not: it has ended, so nobody need wait for its grant.
+    // Its late writes are refused, since the key's revision moves on.
+    busy = true;
+    ports.state(
+        "DELETE",
+        StoreMessages.grant(e.hold()),
+        null,
+        CALL_MS,
+        (status, body) -> again(status == 200 || status == 404 ? Step.CAMPAIGN : Step.READ, 20));
+  }
+
   private void seen(JsonNode value, Revision stamp) {
-    String label = Json.text(value.path("label"));
+    String label = Json.text(value.path(LABEL));
     leader = label.isEmpty() ? null : new NodeLabel(label);
     term = stamp;
   }
@@ -139,14 +223,18 @@
           watchFrom = Math.max(watchFrom, StoreMessages.revision(body));
           boolean vacant = false;
           for (StoreMessages.Change c : StoreMessages.changes(body)) {
-            if (!c.key().equals(KEY)) {
+            if (supported != null && movesLeadership(c)) {
+              again(Step.READ, 0);
+              return;
+            }
+            if (!c.key().equals(key())) {
               continue;
             }
             vacant = c.value() == null;
             if (vacant) {
               leader = null;
             } else {
-              seen(c.value(), c.stamp());
+              seen(c.value(), c.revision());
             }
           }
           if (vacant) {
@@ -157,7 +245,23 @@
         });
   }
 
+  /** Whether the leadership is on another key from this change on, or another level in force. */
+  private boolean movesLeadership(StoreMessages.Change c) {
+    if (!c.key().equals(KEY) || c.value() == null) {
+      return false;
+    }
+    boolean moved = PROTECTED_KEY.equals(Json.text(c.value().path(MOVED_TO)));
+    return moved ? !c.revision().equals(namingRevision) : isProtected();
+  }
+
   private void campaign() {
+    if (isProtected() && !supported.supports(level)) {
+      ports.refused(
+          "leader.unfit",
+          "leader not sought level=" + level + " supported=" + supported + " reason=unsupported");
+      again(Step.READ, UNFIT_PAUSE_MS);
+      return;
+    }
     busy = true;
     MonotonicTime sent = ports.now();
     ports.state(
@@ -176,18 +280,16 @@
   }
 
   private void take(long h, MonotonicTime grantSent) {
+    StoreMessages.Txn txn = new StoreMessages.Txn().guard(key(), Revision.ABSENT);
+    if (isProtected()) {
+      txn.guard(KEY, namingRevision)
+          .write(KEY, ownName().put(MOVED_TO, PROTECTED_KEY).put(LEVEL, level.value()));
+    }
+    txn.write(key(), ownName(), h);
     ports.state(
         "POST",
         StoreMessages.MULTI,
-        new StoreMessages.Txn()
-            .guard(KEY, Revision.ABSENT)
-            .write(
-                KEY,
-                Json.object()
-                    .put("label", ports.config.label().value())
-                    .put("writer", ports.writer.value()),
-                h)
-            .body(),
+        txn.body(),
         CALL_MS,
         (status, body) -> {
           if (status == 200) {
@@ -196,6 +298,7 @@
             hold = h;
             leader = ports.config.label();
             term = new Revision(StoreMessages.revision(body));
+            namingRevision = term;
             watchFrom = term.value();
             validUntil = until(grantSent);
             renewAt = ports.now().plus(ports.tuning.leaderTtlMs() / 4);
@@ -209,6 +312,37 @@
         });
   }
 
+  private ObjectNode ownName() {
+    return Json.object().put(LABEL, ports.config.label().value()).put(WRITER, ports.writer.value());
+  }
+
+  @Override
+  public void addLevelSwitch(StoreMessages.Txn transaction, FeatureLevel to) {
+    ObjectNode name = ownName();
+    if (isProtected()) {
+      transaction.guard(KEY, namingRevision);
+    }
+    if (!isProtected(to)) {
+      transaction.write(KEY, name, hold).drop(PROTECTED_KEY);
+      return;
+    }
+    transaction.write(KEY, name.put(MOVED_TO, PROTECTED_KEY).put(LEVEL, to.value()));
+    if (!isProtected()) {
+      transaction.write(PROTECTED_KEY, ownName(), hold);
+    }
+  }
+
+  @Override
+  public void levelSwitched(FeatureLevel to, Revision revision) {
+    boolean otherKey = isProtected() != isProtected(to);
+    level = to;
+    namingRevision = revision;
+    if (otherKey) {
+      term = revision;
+      ports.info("leader goes on term=%s level=%s key=%s", term, level, key());
+    }
+  }
+
   /** Leases run on the service's clock; ours may be fast or slow by 0.05%. */
   private MonotonicTime until(MonotonicTime sent) {
     long ttl = ports.tuning.leaderTtlMs();
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -40,6 +40,7 @@
 import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.PeerMessages.WorkerReachability;
 import shorecrank.protocol.StoreMessages;
+import shorecrank.rollout.RolloutCoordinator;
 import shorecrank.storage.Budget;
 
 /** The leading controller's work: epochs, part leases, lending machines, dealing with the cloud. */
@@ -146,6 +147,7 @@
 
   private final Ports ports;
   private final Election election;
+  private final RolloutCoordinator rollout;
   private final Map<NodeLabel, Node> nodes = new TreeMap<>();
   private final Map<PartId, Part> parts = new TreeMap<>();
   private final Map<HostName, Host> hosts = new TreeMap<>();
@@ -204,9 +206,13 @@
   private MonotonicTime cloudRetryAt = new MonotonicTime(0);
   private Map<String, HostType> catalog = Map.of();
 
-  Leader(Ports ports, Election election) {
+  /**
+   * @param rollout says which controllers may own shards; null if rollouts are not enabled
+   */
+  Leader(Ports ports, Election election, RolloutCoordinator rollout) {
     this.ports = ports;
     this.election = election;
+    this.rollout = rollout;
     // Other controllers read the catalog now and then.
     this.cloudCalls = new Budget(ports.config.cloud().rps() * 0.9);
   }
@@ -216,7 +222,8 @@
   }
 
   boolean ready() {
-    return election.leading() && loadedTerm.equals(election.term());
+    boolean levelKnown = rollout == null || rollout.ready();
+    return election.leading() && loadedTerm.equals(election.term()) && levelKnown;
   }
 
   void tick() {
@@ -225,7 +232,8 @@
       return;
     }
     if (!ready()) {
-      if (!loading && !ports.now().before(loadRetryAt)) {
+      boolean loaded = loadedTerm.equals(election.term());
+      if (!loaded && !loading && !ports.now().before(loadRetryAt)) {
         load();
       }
       return;
@@ -265,7 +273,7 @@
         CALL_MS,
         (status, body) -> {
           if (status == 200) {
-            epochStamp = StoreMessages.entry(body).stamp();
+            epochStamp = StoreMessages.entry(body).revision();
             epochCounter = Json.count(body.path("data").path("v"));
             if (epochCounter < 0) {
               // Taken for 0, epochs would begin again.
@@ -434,6 +442,9 @@
     }
     node.stateOk = b.stateOk();
     node.strays = b.strays();
+    if (rollout != null) {
+      rollout.heard(b.from(), b.writer(), b.announcement());
+    }
 
     List<Lease> leases = new ArrayList<>();
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
@@ -458,6 +469,9 @@
             "part %s: %s has no state service, others have: taken back", e.getKey(), p.owner);
         p.revoking = true;
       }
+      if (!p.revoking && !mayOwn(b.from())) {
+        p.revoking = true;
+      }
       if (p.revoking && pb == null) {
         p.vacant = true;
         continue;
@@ -529,6 +543,17 @@
     return another && elsewhere * 2 >= h.unheard();
   }
 
+  /** Whether a controller may own shards at the feature level in force, with its settings. */
+  private boolean mayOwn(NodeLabel label) {
+    String reason = rollout == null ? null : rollout.reasonAgainstOwner(label);
+    if (reason != null) {
+      ports.refused(
+          "shard.owner_refused",
+          "owner refused controller=" + label + " reason=\"" + reason + "\"");
+    }
+    return reason == null;
+  }
+
   /**
    * Whether a controller alone is without the state service: after an outage it gets as long to
    * notice the end as it would get to notice the beginning.
@@ -637,7 +662,8 @@
         lent,
         off,
         gone,
-        blocked);
+        blocked,
+        rollout == null ? null : rollout.notice());
   }
 
   /**
@@ -661,7 +687,7 @@
       int bestLoad = Integer.MAX_VALUE;
       for (Map.Entry<NodeLabel, Node> n : nodes.entrySet()) {
         Node x = n.getValue();
-        if (!canServe(x)) {
+        if (!canServe(x) || !mayOwn(n.getKey())) {
           continue;
         }
         int load = n.getKey().equals(ports.config.label()) ? 1 : 0;
@@ -714,7 +740,7 @@
         "POST",
         StoreMessages.MULTI,
         new StoreMessages.Txn()
-            .guard(Election.KEY, term)
+            .guard(election.key(), term)
             .guard(EPOCH, epochStamp)
             .write(EPOCH, Json.object().put("v", next))
             .write(
@@ -812,7 +838,7 @@
   }
 
   private void shelfStamp(StoreMessages.Entry e) {
-    shelfStamps.put(e.key(), e.stamp());
+    shelfStamps.put(e.key(), e.revision());
   }
 
   /**
@@ -925,7 +951,7 @@
     // Machines that come at once are written together.
     saveAt = now.plus(SAVE_PAUSE_MS);
     unsaved.removeAll(batch);
-    StoreMessages.Txn t = new StoreMessages.Txn().guard(Election.KEY, loadedTerm);
+    StoreMessages.Txn t = new StoreMessages.Txn().guard(election.key(), loadedTerm);
     values.forEach(
         (key, on) ->
             t.guard(key, shelfStamps.getOrDefault(key, Revision.ABSENT))
--- a/src/main/java/shorecrank/coordination/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -30,6 +30,7 @@
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.MachineAssignment;
 import shorecrank.protocol.PeerMessages.ShardReport;
+import shorecrank.protocol.RolloutMessages;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
@@ -42,6 +43,8 @@
 import shorecrank.protocol.WorkerMessages.TaskReport;
 import shorecrank.protocol.WorkerMessages.TaskState;
 import shorecrank.protocol.WorkerMessages.Why;
+import shorecrank.rollout.Feature;
+import shorecrank.rollout.FeatureGate;
 import shorecrank.storage.Budget;
 import shorecrank.storage.JobRecord;
 import shorecrank.storage.JobRecord.LiveRange;
@@ -108,6 +111,7 @@
   private MonotonicTime storeAsOf = MonotonicTime.NEVER;
 
   private final Cancellations cancellations;
+  private final FeatureGate gate;
   private MonotonicTime watchRetryAt = new MonotonicTime(0);
 
   final Map<JobId, Job> jobs = new TreeMap<>();
@@ -144,9 +148,15 @@
   private MonotonicTime readyAt = MonotonicTime.NEVER;
 
   ShardOwner(
-      Ports ports, Cancellations cancellations, PartId part, Epoch epoch, MonotonicTime grantedAt) {
+      Ports ports,
+      Cancellations cancellations,
+      FeatureGate gate,
+      PartId part,
+      Epoch epoch,
+      MonotonicTime grantedAt) {
     this.ports = ports;
     this.cancellations = cancellations;
+    this.gate = gate;
     this.part = part;
     this.epoch = epoch;
     this.firstEpoch = epoch;
@@ -389,7 +399,7 @@
             if (r == null) {
               ports.unreadable(e.key());
             } else if (PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
-              Job j = add(r, e.stamp());
+              Job j = add(r, e.revision());
               if (limited(ports.config.teams().get(r.spec().team())) && !j.claimed) {
                 // A write that the last owner sent in time may still place tasks of it.
                 j.claimFirst = true;
@@ -533,12 +543,12 @@
       if (r != null
           && r.spec().id().equals(id)
           && PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
-        add(r, c.stamp());
+        add(r, c.revision());
       }
       return;
     }
-    if (c.stamp().after(j.seenStamp)) {
-      j.seenStamp = c.stamp();
+    if (c.revision().after(j.seenStamp)) {
+      j.seenStamp = c.revision();
     }
     if (JobRecord.isMarked(c.value()) && !j.aborted) {
       // What the watch shows is committed; reading the record again may fail for long.
@@ -588,6 +598,10 @@
     int at = 0;
     while (at < due.size() && inFlight < MAX_IN_FLIGHT) {
       StoreMessages.Txn txn = new StoreMessages.Txn();
+      boolean dense = gate.permits(Feature.DENSE_RECORDS);
+      if (dense) {
+        gate.guard(txn);
+      }
       List<Write> batch = new ArrayList<>();
       int bytes = 0;
       while (at < due.size()) {
@@ -601,7 +615,7 @@
           break;
         }
         budget(j).take(ops, now);
-        bytes += put(txn, batch, j);
+        bytes += put(txn, batch, j, dense && !j.compact);
         at++;
       }
       if (batch.isEmpty()) {
@@ -638,7 +652,29 @@
     return over(j) ? 2 : 1;
   }
 
-  private int put(StoreMessages.Txn txn, List<Write> batch, Job j) {
+  /**
+   * A record in the form in which it is written.
+   *
+   * @param boundBytes what must fit into a value: where the form depends on the feature level, the
+   *     size of the earlier form that it is put back into when the level falls
+   */
+  private record EncodedRecord(ObjectNode value, int bytes, int boundBytes, Standing standing) {}
+
+  private EncodedRecord encode(Job j, boolean dense) {
+    JobRecord record = j.record(epoch, ports.writer);
+    ObjectNode value;
+    if (dense) {
+      value = record.writeDense();
+    } else {
+      value = j.compact ? record.writeCompact() : record.write();
+    }
+    int bytes = Json.bytes(value).length;
+    boolean bound = dense && record.isLarge();
+    int boundBytes = bound ? Json.bytes(record.writeCompact()).length : bytes;
+    return new EncodedRecord(value, bytes, boundBytes, record.standing());
+  }
+
+  private int put(StoreMessages.Txn txn, List<Write> batch, Job j, boolean dense) {
     String key = JobRecord.liveKey(j.id());
     txn.guard(key, j.stamp);
     j.inFlight = true;
@@ -653,20 +689,18 @@
       bytes = 200;
       standing = new Standing(phase, j.doneCount(), 0);
     } else {
-      JobRecord record = j.record(epoch, ports.writer);
-      ObjectNode value = j.compact ? record.writeCompact() : record.write();
-      bytes = Json.bytes(value).length;
+      EncodedRecord record = encode(j, dense);
       double max = ports.config.state().valueKb() * 1024;
-      if (bytes > max * 0.95) {
+      if (record.boundBytes() > max * 0.95) {
         shrink(j);
-        record = j.record(epoch, ports.writer);
-        value = j.compact ? record.writeCompact() : record.write();
-        bytes = Json.bytes(value).length;
+        record = encode(j, dense);
       }
+      bytes = record.bytes();
       standing = record.standing();
       // A record without a live range always takes one: else its job would never run.
-      j.rangesLeft = Math.max(j.live.isEmpty() ? 1 : 0, (int) ((max * 0.9 - bytes) / RANGE_BYTES));
-      txn.write(key, value);
+      int rangesLeft = (int) ((max * 0.9 - record.boundBytes()) / RANGE_BYTES);
+      j.rangesLeft = Math.max(j.live.isEmpty() ? 1 : 0, rangesLeft);
+      txn.write(key, record.value());
     }
     batch.add(new Write(j, j.seq, last, standing));
     j.dirty = Urgency.NONE;
@@ -697,6 +731,9 @@
           }
           MonotonicTime now = ports.now();
           Set<String> failed = status == 409 ? StoreMessages.failed(body) : Set.of();
+          if (failed.contains(RolloutMessages.KEY)) {
+            gate.guardFailed();
+          }
           for (Write w : batch) {
             Job j = w.job;
             j.inFlight = false;
@@ -843,7 +880,7 @@
             if (r == null) {
               latch(j, null);
             } else {
-              reconcile(j, r, e.stamp());
+              reconcile(j, r, e.revision());
               if (jobs.get(j.id()) == j) {
                 lookAgain(j);
               }
--- a/src/main/java/shorecrank/coordination/UserRequestHandler.java
+++ b/src/main/java/shorecrank/coordination/UserRequestHandler.java
@@ -370,7 +370,7 @@
               unknown.run();
             } else {
               partOf.put(id, PartId.of(r.spec().team(), ports.tuning.parts()));
-              found.accept(new Found.Unfinished(r, e.stamp()));
+              found.accept(new Found.Unfinished(r, e.revision()));
             }
           } else if (status == 404) {
             lookUpFinal(id, found, absent, unknown);
--- a/src/main/java/shorecrank/daemon/Daemon.java
+++ b/src/main/java/shorecrank/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import shorecrank.config.Tuning;
 import shorecrank.coordination.Core;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.rollout.RolloutSetup;
 import shorecrank.transport.Runtime;
 
 /** One controller process. */
@@ -16,13 +17,15 @@
   private final NodeConfig config;
 
   /**
+   * @param rollout null if rollouts are not enabled
    * @param identity names this process and no other, also not a later one under the same label
    */
-  Daemon(NodeConfig config, Tuning tuning, String identity) {
+  Daemon(NodeConfig config, Tuning tuning, RolloutSetup rollout, String identity) {
     this.config = config;
     WriterId writer = new WriterId(config.label() + "." + identity);
     this.runtime =
-        new Runtime(config, tuning, new Core(config, tuning, writer), new SimpleMeterRegistry());
+        new Runtime(
+            config, tuning, new Core(config, tuning, writer, rollout), new SimpleMeterRegistry());
   }
 
   void start() throws InterruptedException {
--- a/src/main/java/shorecrank/daemon/Main.java
+++ b/src/main/java/shorecrank/daemon/Main.java
@@ -10,9 +10,12 @@
 import picocli.CommandLine.Model.OptionSpec;
 import picocli.CommandLine.Model.UsageMessageSpec;
 import picocli.CommandLine.ParameterException;
+import shorecrank.client.ClientCommand;
 import shorecrank.config.NodeConfig;
 import shorecrank.config.Tuning;
 import shorecrank.config.TuningFile;
+import shorecrank.rollout.RolloutSettings;
+import shorecrank.rollout.RolloutSetup;
 
 /** The command line of the controller daemon. */
 public final class Main {
@@ -25,13 +28,20 @@
   }
 
   private static int run(String[] args) throws Exception {
+    if (args.length > 0 && !args[0].startsWith("-")) {
+      return ClientCommand.run(args);
+    }
     CommandSpec spec =
         CommandSpec.create()
             .name("shorecrank")
             .usageMessage(
                 new UsageMessageSpec()
                     .description("Runs one controller of the cluster scheduler until killed.")
-                    .footer("LOG_LEVEL sets the log on standard error: error, info or debug."))
+                    .footer(
+                        "LOG_LEVEL sets the log on standard error: error, info or debug.",
+                        "",
+                        "Commands for operators: rollout status|finalize|downgrade|abort,",
+                        "archive create|verify|diff; each has its own --help."))
             .addOption(
                 OptionSpec.builder("--config")
                     .paramLabel("FILE")
@@ -44,6 +54,12 @@
                     .type(Path.class)
                     .description("the operators' own settings (protobuf text format)")
                     .build())
+            .addOption(
+                OptionSpec.builder("--rollout")
+                    .paramLabel("FILE")
+                    .type(Path.class)
+                    .description("enables rollouts, with these settings (protobuf text format)")
+                    .build())
             .addOption(
                 OptionSpec.builder("--rehearse")
                     .hidden(true)
@@ -98,8 +114,10 @@
     if (configFile == null) {
       return complain("--config FILE is required");
     }
+    Path rolloutFile = parsed.matchedOptionValue("--rollout", null);
     NodeConfig config;
     Tuning tuning;
+    RolloutSetup rollout = null;
     Path reading = configFile;
     try {
       config = NodeConfig.read(Files.readAllBytes(configFile));
@@ -108,13 +126,19 @@
         reading = settingsFile;
         tuning = TuningFile.read(Files.readString(settingsFile));
       }
+      if (rolloutFile != null) {
+        reading = rolloutFile;
+        RolloutSettings settings = RolloutSettings.read(Files.readString(rolloutFile));
+        rollout = RolloutSetup.of(settings, build(version), tuning);
+      }
     } catch (NodeConfig.Invalid e) {
       return complain(reading + ": " + e.getMessage());
     } catch (IOException e) {
       return complain(reading + ": can't be read");
     }
     try {
-      new Daemon(config, tuning, UUID.randomUUID().toString().substring(0, 13)).start();
+      String identity = UUID.randomUUID().toString().substring(0, 13);
+      new Daemon(config, tuning, rollout, identity).start();
     } catch (Exception e) {
       return complain("can't listen on " + config.publicAddr() + " and " + config.peerBind());
     }
@@ -122,6 +146,10 @@
     return 0;
   }
 
+  private static String build(String version) {
+    return version == null ? "unpackaged" : version;
+  }
+
   private static int complain(String what) {
     System.err.println("shorecrank: " + what);
     return EXIT_USAGE;
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -16,6 +16,8 @@
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.RolloutMessages.Announcement;
+import shorecrank.protocol.RolloutMessages.Notice;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
 
@@ -77,7 +79,11 @@
     }
   }
 
-  /** {@code strays} counts, by part, workers that lately came here and were sent to its owner. */
+  /**
+   * {@code strays} counts, by part, workers that lately came here and were sent to its owner.
+   *
+   * @param announcement what the sender supports; null if it says nothing
+   */
   public record Heartbeat(
       NodeLabel from,
       WriterId writer,
@@ -85,7 +91,8 @@
       long lendVersion,
       List<ShardReport> parts,
       List<HostInfo> seen,
-      Map<PartId, Integer> strays) {}
+      Map<PartId, Integer> strays,
+      Announcement announcement) {}
 
   public record Lease(PartId part, Epoch epoch, long ttlMs) {}
 
@@ -97,6 +104,8 @@
 
   /**
    * {@code lent} is all that is lent if {@code whole}, else what changed since the asker's version.
+   *
+   * @param rollout the feature level as the leader knows it; null if it says nothing
    */
   public record HeartbeatAnswer(
       long term,
@@ -108,7 +117,8 @@
       List<MachineAssignment> lent,
       List<HostName> off,
       List<HostName> gone,
-      List<Blocked> blocked) {}
+      List<Blocked> blocked,
+      Notice rollout) {}
 
   public static ObjectNode write(Heartbeat b) {
     ObjectNode n = Json.object();
@@ -134,6 +144,9 @@
     b.seen.forEach(h -> host(seen.addObject(), h));
     ArrayNode strays = n.putArray("strays");
     b.strays.forEach((p, count) -> strays.addArray().add(p.value()).add(count));
+    if (b.announcement != null) {
+      n.set(RolloutMessages.HEARTBEAT_FIELD, RolloutMessages.write(b.announcement));
+    }
     return n;
   }
 
@@ -197,7 +210,8 @@
         n.path("ver").asLong(-1),
         parts,
         seen,
-        strays);
+        strays,
+        RolloutMessages.readAnnouncement(n.path(RolloutMessages.HEARTBEAT_FIELD)));
   }
 
   public static ObjectNode write(HeartbeatAnswer a) {
@@ -225,6 +239,9 @@
     for (Blocked b : a.blocked) {
       offer(bs.addObject(), b.offer).put("ms", b.forMs);
     }
+    if (a.rollout != null) {
+      n.set(RolloutMessages.HEARTBEAT_FIELD, RolloutMessages.write(a.rollout));
+    }
     return n;
   }
 
@@ -261,7 +278,8 @@
         lent,
         names(n.path("off")),
         names(n.path("gone")),
-        blocked);
+        blocked,
+        RolloutMessages.readNotice(n.path(RolloutMessages.HEARTBEAT_FIELD)));
   }
 
   /**
--- a/src/main/java/shorecrank/protocol/StoreMessages.java
+++ b/src/main/java/shorecrank/protocol/StoreMessages.java
@@ -13,10 +13,10 @@
 public final class StoreMessages {
   private StoreMessages() {}
 
-  public record Entry(String key, JsonNode value, Revision stamp, long hold) {}
+  public record Entry(String key, JsonNode value, Revision revision, long hold) {}
 
   /** A change seen by a watch; value is null if the key was dropped. */
-  public record Change(String key, JsonNode value, Revision stamp) {}
+  public record Change(String key, JsonNode value, Revision revision) {}
 
   public static final String GRANTS = "/grants";
   public static final String MULTI = "/multi";
@@ -67,8 +67,8 @@
     private final ArrayNode guards = body.putArray("guards");
     private final ArrayNode apply = body.putArray("apply");
 
-    public Txn guard(String key, Revision stamp) {
-      guards.addObject().put("k", key).put("stamp", stamp.value());
+    public Txn guard(String key, Revision revision) {
+      guards.addObject().put("k", key).put("stamp", revision.value());
       return this;
     }
 
--- /dev/null
+++ b/src/main/java/shorecrank/rollout/FeatureGate.java
@@ -0,0 +1,50 @@
+package shorecrank.rollout;
+
+import shorecrank.protocol.Ids.Revision;
+import shorecrank.protocol.RolloutMessages;
+import shorecrank.protocol.RolloutMessages.FeatureLevel;
+import shorecrank.protocol.RolloutMessages.Notice;
+import shorecrank.protocol.StoreMessages.Txn;
+
+/**
+ * The one place that says whether a feature may be used now.
+ *
+ * <p>What it knows of the level may be out of date. That is safe in both directions: forms of the
+ * lowest level may always be written, and every write of a higher form carries the guard of {@link
+ * #guard}, which fails once the level's key has changed.
+ */
+public final class FeatureGate {
+  private Notice known;
+  private Revision refused = Revision.ABSENT;
+
+  /** Takes what the leader, or the state service, says of the level. */
+  public void observe(Notice notice) {
+    if (notice != null && (known == null || notice.revision().after(known.revision()))) {
+      known = notice;
+    }
+  }
+
+  /** Whether the feature's forms may be written, behind {@link #guard}. */
+  public boolean permits(Feature feature) {
+    return known != null
+        && known.revision().after(refused)
+        && known.state().writeLevel().includes(feature.level());
+  }
+
+  /** Makes a transaction fail unless the level is still what {@link #permits} went by. */
+  public void guard(Txn transaction) {
+    transaction.guard(RolloutMessages.KEY, known.revision());
+  }
+
+  /** A guard failed: nothing above the lowest level is written until a newer level is told. */
+  public void guardFailed() {
+    if (known != null) {
+      refused = known.revision();
+    }
+  }
+
+  /** The highest level whose forms may be written, as far as known. */
+  public FeatureLevel writeLevel() {
+    return known == null ? FeatureLevel.LOWEST : known.state().writeLevel();
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/rollout/RolloutSetup.java
@@ -0,0 +1,21 @@
+package shorecrank.rollout;
+
+import shorecrank.config.Tuning;
+import shorecrank.protocol.RolloutMessages.Announcement;
+import shorecrank.protocol.RolloutMessages.LevelRange;
+
+/** Rollouts, as enabled on one controller. */
+public record RolloutSetup(RolloutSettings settings, Announcement announcement) {
+
+  /** Of this build, with the levels that it supports. */
+  public static RolloutSetup of(RolloutSettings settings, String build, Tuning tuning) {
+    return of(settings, build, tuning, Feature.supported());
+  }
+
+  /** Of a build that supports certain levels. */
+  public static RolloutSetup of(
+      RolloutSettings settings, String build, Tuning tuning, LevelRange supported) {
+    return new RolloutSetup(
+        settings, new Announcement(build, supported, SettingsDigest.of(tuning)));
+  }
+}
--- a/src/main/java/shorecrank/storage/JobRecord.java
+++ b/src/main/java/shorecrank/storage/JobRecord.java
@@ -45,6 +45,9 @@
   /** With more live ranges than this a record is packed, to fit the value the store takes. */
   private static final int PACK_ABOVE = 24;
 
+  /** Holds all but the head in the dense form. */
+  private static final String DENSE_BODY = "b";
+
   /** Where the compact form has the spec, behind the columns of ranges. */
   private static final int SPEC_COLUMN = 6;
 
@@ -144,6 +147,24 @@
     return head().put("y", CompressedJson.pack(columns));
   }
 
+  /**
+   * The dense form, which only versions from feature level 1 on read. Its head is that of the other
+   * forms; earlier versions find no spec in it, leave it alone, and answer that they can't tell.
+   */
+  public ObjectNode writeDense() {
+    return head().put(DENSE_BODY, new DenseRecordBody(spec, done, live).write());
+  }
+
+  /** Whether a value is a record in the dense form; a quick look, without reading all of it. */
+  public static boolean isDense(JsonNode n) {
+    return n != null && n.has(DENSE_BODY);
+  }
+
+  /** Whether the ordinary form packs this record, so that its size is not small for sure. */
+  public boolean isLarge() {
+    return live.size() > PACK_ABOVE || done.cardinality() > PACK_ABOVE;
+  }
+
   /** Ranges by column, their firsts as gaps: what is alike stands together and packs well. */
   private ArrayNode columns(ArrayNode doneRuns) {
     ArrayNode columns = Json.array();
@@ -180,6 +201,10 @@
     if (malformedHead(n)) {
       return null;
     }
+    if (isDense(n)) {
+      DenseRecordBody body = DenseRecordBody.read(Json.text(n.path(DENSE_BODY)));
+      return body == null ? null : withHead(n, body.spec(), body.done(), body.live());
+    }
     JsonNode packed = n.path(n.has("y") ? "y" : "z");
     JsonNode columns = packed.isTextual() ? CompressedJson.unpack(packed.textValue()) : null;
     if (columns != null && columns.isMissingNode()) {
@@ -232,6 +257,10 @@
       }
       live.add(lr);
     }
+    return withHead(n, spec, done, live);
+  }
+
+  private static JobRecord withHead(JsonNode n, JobSpec spec, BitSet done, List<LiveRange> live) {
     return new JobRecord(
         spec,
         new Epoch(n.path("e").asLong()),
--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -58,6 +58,11 @@
     }
   }
 
+  /** How many jobs have been told done or cancelled. */
+  int finalAnswers() {
+    return toldFinal.size();
+  }
+
   int startsOf(String job) {
     return startsOf.getOrDefault(job, 0);
   }
--- a/src/test/java/shorecrank/sim/MixedVersionsTest.java
+++ b/src/test/java/shorecrank/sim/MixedVersionsTest.java
@@ -3,15 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import shorecrank.sim.ProcessWorld.ProcessNode;
@@ -26,7 +21,6 @@
  */
 @Tag("mixed-versions")
 class MixedVersionsTest {
-  private static final Path BASE = Path.of("").toAbsolutePath();
   private static final long WAIT_MS = 40_000;
   private static final long JOB_EVERY_MS = 1200;
   private static final long CANCEL_AFTER_MS = 2500;
@@ -38,9 +32,9 @@
 
   @Test
   void anUpgradeWhileServing() throws Exception {
-    production = production();
-    present = present();
-    Path logs = Files.createDirectories(BASE.resolve("target/mixed-versions"));
+    production = ProgramVersions.production();
+    present = ProgramVersions.present();
+    Path logs = Files.createDirectories(ProgramVersions.BASE.resolve("target/mixed-versions"));
     Path own = Files.createTempDirectory(logs, "run");
     long seed = Long.getLong("seed", 1);
     try (ProcessWorld w = new ProcessWorld(seed, production, own)) {
@@ -258,52 +252,4 @@
     assertTrue(world.playUntil(holds, WAIT_MS), "waited in vain for " + what);
     assertEquals(List.of(), world.checker.broken);
   }
-
-  // ---- versions --------------------------------------------------------------------------------
-
-  /** This version, with the memory that the service file gives it. */
-  private Version present() throws IOException {
-    List<String> command = new ArrayList<>();
-    for (String word : setting("run").split(" ")) {
-      boolean jar = word.equals("-jar") || word.contains("target/");
-      if (word.equals("java") || (word.startsWith("-X") && !jar)) {
-        command.add(word);
-      }
-    }
-    command.addAll(
-        List.of(
-            "-cp", System.getProperty("java.class.path"), "shorecrank.daemon.Main", "--config"));
-    return new Version("present", BASE, command);
-  }
-
-  /** The version in production, from the repository's history, built and run as the file says. */
-  private Version production() throws Exception {
-    String commit = setting("production");
-    Path directory = BASE.resolve("target/production-" + commit.substring(0, 12));
-    Path built = directory.resolve("target/shorecrank.jar");
-    if (!Files.exists(built)) {
-      Files.createDirectories(directory);
-      shell(BASE, "git archive " + commit + " | tar -x -C '" + directory + "'");
-      shell(directory, setting("build"));
-    }
-    return new Version("production", directory, List.of(setting("run").split(" ")));
-  }
-
-  private static void shell(Path directory, String line) throws Exception {
-    Process p =
-        new ProcessBuilder("bash", "-c", "set -o pipefail; " + line)
-            .directory(directory.toFile())
-            .inheritIO()
-            .start();
-    assertTrue(p.waitFor(10, TimeUnit.MINUTES), line);
-    assertEquals(0, p.exitValue(), line);
-  }
-
-  private static String setting(String name) throws IOException {
-    Matcher m =
-        Pattern.compile("(?m)^" + name + " = \"(.*)\"$")
-            .matcher(Files.readString(BASE.resolve("deploy/service.toml")));
-    assertTrue(m.find(), name + " is missing in deploy/service.toml");
-    return m.group(1);
-  }
 }
--- /dev/null
+++ b/src/test/java/shorecrank/sim/ProcessFleet.java
@@ -0,0 +1,155 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import shorecrank.client.ClientCommand;
+import shorecrank.protocol.RolloutMessages.RolloutState;
+import shorecrank.sim.ProcessWorld.ProcessNode;
+import shorecrank.sim.ProcessWorld.Version;
+import shorecrank.sim.World.JobPlan;
+
+/** Real controllers on loopback under steady load, and an operator with the command-line client. */
+final class ProcessFleet implements AutoCloseable {
+  private static final long WAIT_MS = 60_000;
+  private static final long CANCEL_AFTER_MS = 2500;
+
+  final ProcessWorld world;
+  private boolean submitting = true;
+  private int submitted;
+
+  /** What the client did: its exit status and what it printed. */
+  record Run(int status, String out, String err) {}
+
+  ProcessFleet(long seed, Version first, int machines) throws Exception {
+    Path logs = Files.createDirectories(ProgramVersions.BASE.resolve("target/process-fleet"));
+    world = new ProcessWorld(seed, first, Files.createTempDirectory(logs, "run"));
+    world.zones = List.of("a", "b");
+    World.TypePlan type = new World.TypePlan();
+    type.cpus = 8;
+    type.memoryGb = 32;
+    type.bootS = 5;
+    type.zones = world.zones;
+    world.types.put("p8", type);
+    world.teamMax.put("t", 24.0);
+    world.teamMax.put("u", 0.0);
+    world.cloud.capacity = machines + 2;
+    world.users.closeLooks(600_000);
+    world.rollouts.observe();
+    world.open(3);
+    for (int i = 0; i < machines; i++) {
+      world.cloud.boot("p8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
+    await("the first owner", () -> world.owner(0) != null && world.leader() != null);
+  }
+
+  ProcessNode node(int index) {
+    return world.process(index);
+  }
+
+  RolloutState state() {
+    return world.rollouts.state();
+  }
+
+  int submitted() {
+    return submitted;
+  }
+
+  /** A job every so often, of two teams; every fifth is cancelled. */
+  void submitEvery(long ms) {
+    if (!submitting) {
+      return;
+    }
+    int number = ++submitted;
+    String id = "wk-" + number;
+    JobPlan plan = new JobPlan();
+    plan.pieces = 1 + number % 6;
+    plan.cpus = 2;
+    plan.runS = 1 + number % 4;
+    plan.pullS = 0.5;
+    plan.team = number % 3 == 0 ? "u" : "t";
+    world.users.submit(id, plan);
+    if (number % 5 == 0) {
+      world.sim.after(CANCEL_AFTER_MS, () -> world.users.cancel(id));
+    }
+    world.sim.after(ms, () -> submitEvery(ms));
+  }
+
+  /** Ends a controller; it is back as that version. */
+  void roll(int index, Version version, long backMs) {
+    node(index).upgrade(version);
+    node(index).crash(backMs);
+  }
+
+  void serveFor(long ms) {
+    world.play(ms);
+    assertEquals(List.of(), world.checker.broken);
+  }
+
+  void await(String what, BooleanSupplier holds) {
+    assertTrue(world.playUntil(holds, WAIT_MS), "waited in vain for " + what);
+    assertEquals(List.of(), world.checker.broken);
+    for (World.Node n : world.nodes) {
+      assertTrue(((ProcessNode) n).sound(), n.label + " has ended by itself");
+    }
+  }
+
+  /** Runs the client while the fleet goes on; {@code @} stands for all controllers' addresses. */
+  Run client(String... words) {
+    String all =
+        world.nodes.stream().map(n -> world.addresses(n).peers()).collect(Collectors.joining(","));
+    return clientAt(all, words);
+  }
+
+  /** The same, asking one controller. */
+  Run clientOf(int index, String... words) {
+    return clientAt(world.addresses(node(index)).peers(), words);
+  }
+
+  private Run clientAt(String controllers, String... words) {
+    List<String> line = new ArrayList<>(Arrays.asList(words));
+    line.replaceAll(word -> word.equals("@") ? "--controller=" + controllers : word);
+    CompletableFuture<Run> run =
+        CompletableFuture.supplyAsync(
+            () -> {
+              StringWriter out = new StringWriter();
+              StringWriter err = new StringWriter();
+              int status =
+                  ClientCommand.run(
+                      new PrintWriter(out, true),
+                      new PrintWriter(err, true),
+                      line.toArray(String[]::new));
+              return new Run(status, out.toString(), err.toString());
+            });
+    assertTrue(world.playUntil(run::isDone, WAIT_MS), "the client does not end: " + line);
+    return run.join();
+  }
+
+  /** No more jobs; waits until each has its final answer. */
+  void finish() {
+    submitting = false;
+    await("the end of all jobs", () -> world.submitted.stream().allMatch(this::over));
+    world.checker.end();
+    assertEquals(List.of(), world.checker.broken);
+  }
+
+  private boolean over(String job) {
+    String told = world.checker.told(job);
+    return told.equals("done") || told.equals("withdrawn");
+  }
+
+  @Override
+  public void close() {
+    world.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/shorecrank/sim/ProgramVersions.java
@@ -0,0 +1,68 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import shorecrank.sim.ProcessWorld.Version;
+
+/** The versions of the program that tests start as real processes. */
+final class ProgramVersions {
+  static final Path BASE = Path.of("").toAbsolutePath();
+
+  private ProgramVersions() {}
+
+  /** This version, with the memory that the service file gives it. */
+  static Version present(String... options) throws IOException {
+    List<String> command = new ArrayList<>();
+    for (String word : setting("run").split(" ")) {
+      boolean jar = word.equals("-jar") || word.contains("target/");
+      if (word.equals("java") || (word.startsWith("-X") && !jar)) {
+        command.add(word);
+      }
+    }
+    String classes = System.getProperty("java.class.path");
+    command.addAll(List.of("-cp", classes, "shorecrank.daemon.Main"));
+    command.addAll(List.of(options));
+    command.add("--config");
+    return new Version("present", BASE, command);
+  }
+
+  /** The version in production, from the repository's history, built and run as the file says. */
+  static Version production() throws Exception {
+    String commit = setting("production");
+    Path directory = BASE.resolve("target/production-" + commit.substring(0, 12));
+    Path built = directory.resolve("target/shorecrank.jar");
+    if (!Files.exists(built)) {
+      Files.createDirectories(directory);
+      shell(BASE, "git archive " + commit + " | tar -x -C '" + directory + "'");
+      shell(directory, setting("build"));
+    }
+    return new Version("production", directory, List.of(setting("run").split(" ")));
+  }
+
+  private static void shell(Path directory, String line) throws Exception {
+    Process p =
+        new ProcessBuilder("bash", "-c", "set -o pipefail; " + line)
+            .directory(directory.toFile())
+            .inheritIO()
+            .start();
+    assertTrue(p.waitFor(10, TimeUnit.MINUTES), line);
+    assertEquals(0, p.exitValue(), line);
+  }
+
+  private static String setting(String name) throws IOException {
+    Matcher m =
+        Pattern.compile("(?m)^" + name + " = \"(.*)\"$")
+            .matcher(Files.readString(BASE.resolve("deploy/service.toml")));
+    assertTrue(m.find(), name + " is missing in deploy/service.toml");
+    return m.group(1);
+  }
+}
--- /dev/null
+++ b/src/test/java/shorecrank/sim/RolloutVersionsTest.java
@@ -0,0 +1,118 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import shorecrank.protocol.RolloutMessages.Phase;
+import shorecrank.sim.ProcessFleet.Run;
+import shorecrank.sim.ProcessWorld.Version;
+
+/**
+ * Three real controllers, of the version in production and of this one, upgraded and downgraded in
+ * random order under steady load: every job has one final answer.
+ */
+@Tag("mixed-versions")
+class RolloutVersionsTest {
+  private static final int ROUNDS = Integer.getInteger("rounds", 20);
+  private static final int CONTROLLERS = 3;
+
+  @TempDir Path dir;
+  private int moves;
+  private int rises;
+  private int falls;
+  private int returnsAtLevel;
+
+  @Test
+  void upAndDownInRandomOrder() throws Exception {
+    Path settings = dir.resolve("rollout.textproto");
+    Files.writeString(settings, "settle_s: 2 rewrites_per_s: 50");
+    Version production = ProgramVersions.production();
+    Version present = ProgramVersions.present("--rollout", settings.toString());
+    Random random = new Random(Long.getLong("seed", 1));
+    try (ProcessFleet fleet = new ProcessFleet(1, production, 4)) {
+      fleet.submitEvery(900);
+      for (int round = 0; round < ROUNDS; round++) {
+        round(fleet, random, production, present);
+      }
+      allPresent(fleet, present);
+      lower(fleet);
+      fleet.finish();
+      System.out.printf(
+          "rounds %d, jobs %d, controllers rolled %d, level raised %d and lowered %d times,"
+              + " production back at level 1 %d times, final answers %d%n",
+          ROUNDS,
+          fleet.submitted(),
+          moves,
+          rises,
+          falls,
+          returnsAtLevel,
+          fleet.world.checker.finalAnswers());
+      assertEquals(fleet.submitted(), fleet.world.checker.finalAnswers());
+    }
+  }
+
+  private void round(ProcessFleet fleet, Random random, Version production, Version present) {
+    int index = random.nextInt(CONTROLLERS);
+    boolean up = random.nextInt(3) > 0;
+    if (!up && fleet.state().level().value() > 0) {
+      if (random.nextBoolean()) {
+        lower(fleet);
+      } else {
+        returnsAtLevel++;
+      }
+    }
+    roll(fleet, index, up ? present : production);
+    fleet.serveFor(1500 + random.nextInt(3000));
+    boolean all = true;
+    for (int i = 0; i < CONTROLLERS; i++) {
+      all &= fleet.node(i).version() == present;
+    }
+    if (all && fleet.state().level().value() == 0) {
+      raise(fleet);
+    }
+  }
+
+  private void roll(ProcessFleet fleet, int index, Version version) {
+    fleet.await("a sound controller", () -> fleet.node(index).up);
+    fleet.roll(index, version, 700);
+    moves++;
+    fleet.await("n" + index + " to serve", () -> fleet.node(index).healthy());
+  }
+
+  private void allPresent(ProcessFleet fleet, Version present) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+      if (fleet.node(i).version() != present) {
+        roll(fleet, i, present);
+      }
+    }
+  }
+
+  private void raise(ProcessFleet fleet) {
+    fleet.await(
+        "the order to be taken",
+        () -> {
+          Run run = fleet.client("rollout", "finalize", "@", "--timeout=3");
+          return run.status() == 0;
+        });
+    fleet.await("level 1", () -> fleet.state().level().value() == 1);
+    rises++;
+    fleet.serveFor(2500);
+  }
+
+  private void lower(ProcessFleet fleet) {
+    if (fleet.state().level().value() == 0 && fleet.state().phase() == Phase.STABLE) {
+      return;
+    }
+    fleet.await(
+        "the order to be taken",
+        () -> fleet.client("rollout", "downgrade", "@", "--timeout=3").status() == 0);
+    fleet.await("level 0", () -> fleet.state().level().value() == 0);
+    falls++;
+    assertEquals(0, fleet.world.rollouts.dense());
+  }
+}
--- /dev/null
+++ b/src/test/java/shorecrank/sim/Rollouts.java
@@ -0,0 +1,314 @@
+package shorecrank.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.Tuning;
+import shorecrank.config.TuningFile;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.RolloutMessages;
+import shorecrank.protocol.RolloutMessages.FeatureLevel;
+import shorecrank.protocol.RolloutMessages.LevelRange;
+import shorecrank.protocol.RolloutMessages.Order;
+import shorecrank.protocol.RolloutMessages.OrderKind;
+import shorecrank.protocol.RolloutMessages.Phase;
+import shorecrank.protocol.RolloutMessages.RolloutState;
+import shorecrank.rollout.Feature;
+import shorecrank.rollout.RolloutSettings;
+import shorecrank.rollout.RolloutSetup;
+import shorecrank.sim.World.Node;
+import shorecrank.storage.JobRecord;
+
+/**
+ * Controllers of different feature levels, operators' orders, and the rules of a rollout: no form
+ * above the level in force is written, no controller owns a shard or leads below that level, and
+ * the level rises only when all support it.
+ */
+final class Rollouts {
+  private static final long ORDER_RETRY_MS = 1000;
+  private static final long ORDER_TIMEOUT_MS = 4000;
+  private static final long ORDER_GIVEN_UP_MS = 90_000;
+
+  /** An announcement may be so old when the level rises. */
+  private static final long ANNOUNCED_LATELY_MS = 6000;
+
+  /** A version; {@code supported} is null for those from before levels. */
+  record Version(LevelRange supported) {
+    boolean supports(FeatureLevel level) {
+      LevelRange range = supported == null ? LevelRange.UNANNOUNCED : supported;
+      return range.supports(level);
+    }
+
+    /** As in scenarios: {@code none}, or {@code 0-1}. */
+    static Version of(String text) {
+      if (text.equals("none")) {
+        return new Version(null);
+      }
+      String[] ends = text.split("-");
+      return new Version(
+          new LevelRange(
+              new FeatureLevel(Integer.parseInt(ends[0])),
+              new FeatureLevel(Integer.parseInt(ends[1]))));
+    }
+  }
+
+  private final World world;
+  private final Map<Integer, Version> next = new HashMap<>();
+  private final Map<Integer, Version> running = new HashMap<>();
+  private final Map<Integer, Long> runningSince = new HashMap<>();
+  private final Map<Integer, String> otherSettings = new HashMap<>();
+  private RolloutSettings settings;
+
+  /** Answers to operators' orders, by order id. */
+  final Map<String, List<JsonNode>> outcomes = new TreeMap<>();
+
+  /** Orders that were refused or accepted, by status. */
+  final Map<String, Integer> statuses = new TreeMap<>();
+
+  int mostLevel;
+  int rises;
+  int falls;
+
+  Rollouts(World world) {
+    this.world = world;
+  }
+
+  void enable(String text) throws NodeConfig.Invalid {
+    settings = RolloutSettings.read(text);
+  }
+
+  /** Watches the level and the forms only: what runs is not known here. */
+  void observe() throws NodeConfig.Invalid {
+    enable("");
+  }
+
+  boolean enabled() {
+    return settings != null;
+  }
+
+  /** What a controller runs as from its next start on. */
+  void version(int index, Version version) {
+    next.put(index, version);
+  }
+
+  /** A controller has other settings from its next start on. */
+  void settings(int index, String text) {
+    otherSettings.put(index, text);
+  }
+
+  Tuning tuning(Node node) {
+    String other = otherSettings.get(node.index);
+    try {
+      return other == null ? world.tuning : TuningFile.read(other);
+    } catch (NodeConfig.Invalid e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  /** The setup with which a controller starts; null for a version from before levels. */
+  RolloutSetup start(Node node) {
+    if (!enabled()) {
+      return null;
+    }
+    Version version = next.getOrDefault(node.index, new Version(Feature.supported()));
+    if (!version.equals(running.get(node.index))) {
+      runningSince.put(node.index, world.sim.now);
+    }
+    running.put(node.index, version);
+    String build = "build-" + (version.supported() == null ? "old" : version.supported());
+    return version.supported() == null
+        ? null
+        : RolloutSetup.of(settings, build, tuning(node), version.supported());
+  }
+
+  private boolean readsDense(Node node) {
+    return !enabled()
+        || running.get(node.index) == null
+        || running.get(node.index).supports(Feature.DENSE_RECORDS.level());
+  }
+
+  /** What a version that knows no dense records makes of an answer: it finds no body in them. */
+  JsonNode asRead(Node node, JsonNode answer) {
+    if (readsDense(node)) {
+      return answer;
+    }
+    JsonNode copy = answer.deepCopy();
+    hideBody(copy.path("data"));
+    copy.path("entries").forEach(e -> hideBody(e.path("data")));
+    copy.path("news").forEach(c -> hideBody(c.path("data")));
+    return copy;
+  }
+
+  private static void hideBody(JsonNode value) {
+    if (JobRecord.isDense(value)) {
+      ObjectNode record = (ObjectNode) value;
+      record.set("hidden", record.remove("b"));
+    }
+  }
+
+  RolloutState state() {
+    JsonNode value = world.store.peek(RolloutMessages.KEY);
+    RolloutState state = value.isMissingNode() ? null : RolloutMessages.readState(value);
+    return state == null ? RolloutState.INITIAL : state;
+  }
+
+  long dense() {
+    return world.store.keys(JobRecord.LIVE).stream()
+        .filter(key -> JobRecord.isDense(world.store.peek(key)))
+        .count();
+  }
+
+  // ---- orders ----------------------------------------------------------------------------------
+
+  /** Sends an order to a controller until it is answered, like an operator's client. */
+  void order(int index, String id, OrderKind kind, int level) {
+    order(index, new Order(id, kind, level), world.sim.now + ORDER_GIVEN_UP_MS);
+  }
+
+  private void order(int index, Order order, long until) {
+    if (world.sim.now > until) {
+      return;
+    }
+    boolean[] over = new boolean[1];
+    Runnable again =
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            int other = (index + 1) % world.nodes.size();
+            world.sim.after(ORDER_RETRY_MS, () -> order(other, order, until));
+          }
+        };
+    world.sim.after(ORDER_TIMEOUT_MS, again);
+    world.request(
+        world.nodes.get(index),
+        true,
+        "POST",
+        RolloutMessages.ORDERS,
+        RolloutMessages.write(order),
+        (status, body) -> {
+          if (over[0]) {
+            return;
+          }
+          if (status == 200 || status == 409 || status == 400) {
+            over[0] = true;
+            outcomes.computeIfAbsent(order.id(), k -> new ArrayList<>()).add(body);
+            statuses.put(order.id(), status);
+          } else {
+            again.run();
+          }
+        });
+  }
+
+  // ---- rules -----------------------------------------------------------------------------------
+
+  /** Called before a transaction is applied, with what it writes. */
+  void applying(JsonNode operations) {
+    if (!enabled()) {
+      return;
+    }
+    RolloutState before = state();
+    RolloutState after = before;
+    for (JsonNode o : operations) {
+      if (o.path("write").asText().equals(RolloutMessages.KEY)) {
+        after = RolloutMessages.readState(o.path("data"));
+      }
+    }
+    for (JsonNode o : operations) {
+      boolean record = o.path("write").asText().startsWith(JobRecord.LIVE);
+      boolean dense = record && JobRecord.isDense(o.path("data"));
+      if (dense && !before.writeLevel().includes(Feature.DENSE_RECORDS.level())) {
+        world.checker.broken("form_above_level: " + o.path("write").asText());
+      }
+      if (o.path("drop").asText().equals("leader")) {
+        world.checker.broken("leadership_vacant: dropped by a transaction");
+      }
+    }
+    if (after.level().compareTo(before.level()) > 0) {
+      rises++;
+      rise(after.level());
+    } else if (after.level().compareTo(before.level()) < 0) {
+      falls++;
+      if (dense() > 0) {
+        world.checker.broken("fell_too_early: " + dense() + " dense records left");
+      }
+    }
+    mostLevel = Math.max(mostLevel, after.level().value());
+  }
+
+  private void rise(FeatureLevel to) {
+    running.forEach(
+        (index, version) -> {
+          long since = runningSince.get(index);
+          boolean lately = world.sim.now - since < ANNOUNCED_LATELY_MS;
+          if (!version.supports(to) && !lately) {
+            world.checker.broken("raised_without_support: n" + index + " to " + to);
+          }
+        });
+  }
+
+  /** Once a step of a controller. */
+  void check(Node node) {
+    if (!enabled()) {
+      return;
+    }
+    RolloutState state = state();
+    Version version = running.get(node.index);
+    if (!node.commanded().isEmpty() && !version.supports(state.level())) {
+      world.checker.broken("owner_below_level: " + node.label + " at " + state.level());
+    }
+    boolean isProtected = state.level().includes(Feature.PROTECTED_LEADERSHIP.level());
+    if (isProtected && world.store.peek("leader").isMissingNode()) {
+      world.checker.broken("leadership_vacant: no leader key at level " + state.level());
+    }
+    String leading = world.store.peek("leadership").path("label").asText("");
+    boolean leads = isProtected && node.label.equals(leading);
+    if (leads && node.up && !version.supports(state.level())) {
+      // Only a process that is back in an earlier version under the label of the one that led.
+      boolean lately = world.sim.now - runningSince.get(node.index) < ANNOUNCED_LATELY_MS;
+      if (!lately) {
+        world.checker.broken("leader_below_level: " + node.label + " at " + state.level());
+      }
+    }
+  }
+
+  /** What an {@code expect} line about rollouts asks; null if it is none. */
+  Boolean holds(String[] a) {
+    return switch (a[1]) {
+      case "level" -> state().level().value() == Integer.parseInt(a[2]);
+      case "phase" -> state().phase() == Phase.valueOf(a[2].toUpperCase(java.util.Locale.ROOT));
+      case "dense" -> a[2].equals("none") ? dense() == 0 : dense() > 0;
+      case "order" -> orderIs(a);
+      case "rises" -> rises == Integer.parseInt(a[2]);
+      case "falls" -> falls == Integer.parseInt(a[2]);
+      case "archived" -> new StoredArchive(world.store, state().archive()).matches();
+      default -> null;
+    };
+  }
+
+  /** expect order ID accepted|refused [words that its text holds]. */
+  private boolean orderIs(String[] a) {
+    List<JsonNode> answers = outcomes.getOrDefault(a[2], List.of());
+    String text = String.join(" ", java.util.Arrays.copyOfRange(a, 4, a.length));
+    boolean accepted = a[3].equals("accepted");
+    return !answers.isEmpty()
+        && answers.stream()
+            .allMatch(
+                n -> n.path("accepted").asBoolean() == accepted && n.toString().contains(text));
+  }
+
+  @Override
+  public String toString() {
+    return Json.object()
+        .put("rises", rises)
+        .put("falls", falls)
+        .put("dense", dense())
+        .put("state", RolloutMessages.write(state()).toString())
+        .put("outcomes", outcomes.toString())
+        .toString();
+  }
+}
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -1,6 +1,7 @@
 package shorecrank.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -12,6 +13,7 @@
 import shorecrank.config.Tuning;
 import shorecrank.config.TuningFile;
 import shorecrank.protocol.Json;
+import shorecrank.protocol.RolloutMessages.OrderKind;
 import shorecrank.sim.World.JobPlan;
 import shorecrank.sim.World.Mode;
 import shorecrank.sim.World.Node;
@@ -119,6 +121,7 @@
     int nodes = 3;
     long until = 120_000;
     List<Runnable> boots = new ArrayList<>();
+    StringBuilder rolloutFile = new StringBuilder();
     for (String l : lines) {
       if (l.isEmpty() || l.startsWith("#") || l.startsWith("set ")) {
         continue;
@@ -167,6 +170,16 @@
                   .put("times", number(o, "times", 1)));
         }
         case "seeds" -> {}
+        // rollout SETTING: VALUE, as in the operators' file; several lines are one file.
+        case "rollout" -> rolloutFile.append(l.substring("rollout".length())).append('\n');
+        // levels N0,N1,...: what each controller supports at first.
+        case "levels" -> {
+          String[] each = a[1].split(",");
+          for (int i = 0; i < each.length; i++) {
+            w.rollouts.version(i, Rollouts.Version.of(each[i]));
+          }
+        }
+        case "mix-rollout" -> boots.add(() -> new RolloutMix(this, w).draw(a));
         case "mix" ->
             boots.add(
                 () ->
@@ -203,6 +216,9 @@
     if (w.teamMax.isEmpty()) {
       w.teamMax.put("t", 0.0);
     }
+    if (!rolloutFile.isEmpty()) {
+      w.rollouts.enable(rolloutFile.toString());
+    }
     w.open(nodes);
     boots.forEach(Runnable::run);
     prepare.accept(w);
@@ -297,6 +313,10 @@
     return a.length > i ? Mode.valueOf(a[i].toUpperCase(java.util.Locale.ROOT)) : Mode.DROP;
   }
 
+  void act(World w, String line) {
+    act(w, line.split("\\s+"), line);
+  }
+
   private void act(World w, String[] a, String line) {
     switch (a[0]) {
       case "submit" -> w.users.submit(a[1], plan(options(a, 2)));
@@ -345,6 +365,36 @@
       case "late-writes" ->
           w.lateWrites(Double.parseDouble(a[1]), ms(a[2]), a.length > 3 && a[3].equals("at-once"));
       case "lower-limits" -> w.lowerLimits();
+      // version WHO LEVELS: from its next start on.
+      case "version" ->
+          who(w, a[1]).forEach(n -> w.rollouts.version(n.index, Rollouts.Version.of(a[2])));
+      // roll WHO LEVELS S: ends, and is back as that version.
+      case "roll" ->
+          who(w, a[1])
+              .forEach(
+                  n -> {
+                    w.rollouts.version(n.index, Rollouts.Version.of(a[2]));
+                    n.crash(ms(a[3]));
+                  });
+      // order WHO ID KIND [LEVEL]: an operator's order, until it is answered.
+      case "order" -> {
+        int level = a.length > 4 ? Integer.parseInt(a[4]) : -1;
+        OrderKind kind = OrderKind.valueOf(a[3].toUpperCase(java.util.Locale.ROOT));
+        who(w, a[1]).forEach(n -> w.rollouts.order(n.index, a[2], kind, level));
+      }
+      // settings WHO SETTING: VALUE, from its next start on.
+      case "settings" -> {
+        String text = line.substring(line.indexOf(a[1], line.indexOf("settings")) + a[1].length());
+        who(w, a[1]).forEach(n -> w.rollouts.settings(n.index, text));
+      }
+      // write-key KEY JSON: as a stranger would.
+      case "write-key" ->
+          w.store.poke(
+              a[1],
+              Json.parse(
+                  line.substring(line.indexOf(a[1]) + a[1].length())
+                      .trim()
+                      .getBytes(StandardCharsets.UTF_8)));
       case "slow" -> w.slow(Double.parseDouble(a[1]), ms(a[2]));
       case "cancel-now" -> w.users.cancelNow(Integer.parseInt(a[1]), a.length > 2 ? ms(a[2]) : 0);
       case "cancel-each" -> {
@@ -394,6 +444,13 @@
   }
 
   private void expect(World w, String[] a, String line) {
+    Boolean ofRollout = w.rollouts.holds(a);
+    if (ofRollout != null) {
+      if (!ofRollout) {
+        failures.add("not so: " + line + " " + w.rollouts);
+      }
+      return;
+    }
     boolean ok =
         switch (a[1]) {
           case "done", "withdrawn" ->
--- a/src/test/java/shorecrank/sim/ScenarioTest.java
+++ b/src/test/java/shorecrank/sim/ScenarioTest.java
@@ -26,7 +26,8 @@
     List<DynamicTest> tests = new ArrayList<>();
     for (Path p : files) {
       String name = p.getFileName().toString().replace(".txt", "");
-      if (!only.isEmpty() && !name.equals(only)) {
+      boolean all = only.endsWith("*") && name.startsWith(only.substring(0, only.length() - 1));
+      if (!only.isEmpty() && !name.equals(only) && !all) {
         continue;
       }
       long seeds = Long.getLong("seeds", Scenario.seeds(Files.readString(p)));
@@ -38,7 +39,7 @@
                 () ->
                     assertEquals(
                         List.of(),
-                        new Scenario(name, Files.readString(p)).play(s, !only.isEmpty()))));
+                        new Scenario(name, Files.readString(p)).play(s, name.equals(only)))));
       }
     }
     return tests;
--- a/src/test/java/shorecrank/sim/Store.java
+++ b/src/test/java/shorecrank/sim/Store.java
@@ -10,7 +10,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import shorecrank.protocol.Json;
+import shorecrank.rollout.ArchiveFormat.Version;
 
 /** A stand-in for the state service, made from its page. */
 final class Store {
@@ -38,6 +40,9 @@
   int valueKb = 16;
   int requests;
 
+  /** Told what a transaction changes, right before it does. */
+  Consumer<JsonNode> beforeApply = operations -> {};
+
   /** Transactions refused for their size. */
   int tooLarge;
 
@@ -261,6 +266,7 @@
       answer.accept(409, refused.put("ledgerRev", revision));
       return;
     }
+    beforeApply.accept(apply);
     revision++;
     for (JsonNode o : apply) {
       if (o.has("write")) {
@@ -281,6 +287,26 @@
     return i == null ? Json.parse(null) : i.data;
   }
 
+  List<String> keys(String prefix) {
+    return items.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
+  }
+
+  /** All keys as they were right after a revision. */
+  Map<String, Version> at(long then) {
+    Map<String, Version> all = new TreeMap<>();
+    for (Change c : log) {
+      if (c.stamp > then) {
+        break;
+      }
+      if (c.data == null) {
+        all.remove(c.key);
+      } else {
+        all.put(c.key, new Version(c.data, c.stamp));
+      }
+    }
+    return all;
+  }
+
   /** Changes a key as a stranger would. */
   void poke(String key, JsonNode data) {
     revision++;
--- /dev/null
+++ b/src/test/java/shorecrank/sim/StoredArchive.java
@@ -0,0 +1,59 @@
+package shorecrank.sim;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.rollout.ArchiveFormat.Version;
+import shorecrank.rollout.ArchiveKeys;
+import shorecrank.rollout.ArchiveReader;
+import shorecrank.rollout.ArchiveReader.Archive;
+
+/** An archive as it stands in the state service, compared with what the service held. */
+final class StoredArchive {
+  private final Store store;
+  private final String id;
+
+  StoredArchive(Store store, String id) {
+    this.store = store;
+    this.id = id;
+  }
+
+  byte[] bytes() {
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    for (int i = 0; ; i++) {
+      byte[] chunk = ArchiveKeys.readChunk(store.peek(ArchiveKeys.chunk(id, i)));
+      if (chunk == null) {
+        return all.toByteArray();
+      }
+      all.writeBytes(chunk);
+    }
+  }
+
+  /** Whether it is whole, and shows the keys as they were at the revision it names. */
+  boolean matches() {
+    Archive archive;
+    try {
+      archive = ArchiveReader.read(new ByteArrayInputStream(bytes()));
+    } catch (ArchiveReader.Damaged e) {
+      return false;
+    }
+    Map<String, Version> then = new TreeMap<>();
+    store
+        .at(archive.manifest().revision())
+        .forEach(
+            (key, version) -> {
+              if (ArchiveKeys.PREFIXES.stream().anyMatch(key::startsWith)) {
+                then.put(key, version);
+              }
+            });
+    return archive.manifest().consistent() && text(archive.keys()).equals(text(then));
+  }
+
+  /** Numbers that were read are of other types than those that were written. */
+  private static Map<String, String> text(Map<String, Version> keys) {
+    Map<String, String> text = new TreeMap<>();
+    keys.forEach((key, v) -> text.put(key, v.revision() + " " + v.data()));
+    return text;
+  }
+}
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -20,6 +20,7 @@
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
+import shorecrank.rollout.RolloutSetup;
 
 /** Controllers and stand-ins on one simulated clock, with troubles. */
 class World {
@@ -102,7 +103,9 @@
     void start() {
       up = true;
       life++;
-      core = new Core(config(this), tuning, new WriterId(label + "." + life));
+      RolloutSetup setup = rollouts.start(this);
+      WriterId writer = new WriterId(label + "." + life);
+      core = new Core(config(this), rollouts.tuning(this), writer, setup);
       int mine = life;
       sim.after(20 + sim.random.nextInt(50), () -> tick(mine));
     }
@@ -129,6 +132,7 @@
       }
       step(new Input.Tick(() -> false));
       checker.oneOwner(this);
+      rollouts.check(this);
       rounds += core.owned().size();
       sim.after(50, () -> tick(mine));
     }
@@ -228,6 +232,7 @@
   final Checker checker;
   final CloudSim cloud;
   final Users users;
+  final Rollouts rollouts;
   final List<Node> nodes = new ArrayList<>();
   final Map<String, Worker> workers = new TreeMap<>();
   final Map<String, TypePlan> types = new TreeMap<>();
@@ -306,6 +311,8 @@
     this.checker = new Checker(this);
     this.cloud = new CloudSim(this);
     this.users = new Users(this);
+    this.rollouts = new Rollouts(this);
+    this.store.beforeApply = rollouts::applying;
   }
 
   int index(String label) {
@@ -498,7 +505,7 @@
       return;
     }
     BiConsumer<Integer, JsonNode> reply =
-        (s, b) -> through(regionalCut(from, kind), () -> back.accept(s, b));
+        (s, b) -> through(regionalCut(from, kind), () -> back.accept(s, rollouts.asRead(from, b)));
     through(
         cut,
         () -> {
