--- a/src/main/java/shorecrank/storage/DenseRecordBody.java
+++ b/src/main/java/shorecrank/storage/DenseRecordBody.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -27,27 +26,37 @@
  * column with machines as numbers, all deflated. Versions before feature level 1 can't read it.
  */
 record DenseRecordBody(JobSpec spec, BitSet done, List<LiveRange> live) {
-  private static final String SPEC = "s";
-  private static final String DONE = "d";
-  private static final String GAPS = "g";
-  private static final String COUNTS = "n";
-  private static final String HOST_PREFIX = "hp";
-  private static final String HOST_DIGITS = "hd";
-  private static final String HOSTS = "h";
-  private static final String SESSIONS = "t";
-  private static final String ATTEMPTS = "a";
+  /** The columns of the body, in the order in which they stand. */
+  private enum Column {
+    SPEC,
+    DONE,
+    GAPS,
+    COUNTS,
+    SESSIONS,
+    ATTEMPTS,
+    HOST_PREFIX,
+    HOST_DIGITS,
+    HOSTS;
+
+    JsonNode of(JsonNode body) {
+      return body.path(ordinal());
+    }
+  }
 
   /** Names of machines that differ only in a number of as many digits. */
   private static final Pattern NUMBERED = Pattern.compile("(.*?)(\\d{1,9})");
 
   String write() {
-    ObjectNode n = Json.object();
-    n.set(SPEC, spec.write());
-    n.put(DONE, Base64.getEncoder().withoutPadding().encodeToString(serialized(done)));
-    ArrayNode gaps = n.putArray(GAPS);
-    ArrayNode counts = n.putArray(COUNTS);
-    ArrayNode sessions = n.putArray(SESSIONS);
-    ArrayNode attempts = n.putArray(ATTEMPTS);
+    ArrayNode body = Json.array();
+    body.add(spec.write());
+    body.add(
+        done.isEmpty()
+            ? ""
+            : Base64.getEncoder().withoutPadding().encodeToString(serialized(done)));
+    ArrayNode gaps = body.addArray();
+    ArrayNode counts = body.addArray();
+    ArrayNode sessions = body.addArray();
+    ArrayNode attempts = body.addArray();
     int end = 0;
     long lastAttempt = 0;
     for (LiveRange r : live) {
@@ -58,20 +67,17 @@
       end = r.first() + r.count();
       lastAttempt = r.attempt().value();
     }
-    writeHosts(n);
-    return CompressedJson.pack(n);
+    writeHosts(body);
+    return CompressedJson.pack(body);
   }
 
-  private void writeHosts(ObjectNode n) {
-    ArrayNode hosts = n.putArray(HOSTS);
-    Matcher first = live.isEmpty() ? null : NUMBERED.matcher(live.get(0).host().value());
-    if (first == null || !first.matches()) {
-      live.forEach(r -> hosts.add(r.host().value()));
-      return;
-    }
-    String prefix = first.group(1);
-    int digits = first.group(2).length();
-    n.put(HOST_PREFIX, prefix).put(HOST_DIGITS, digits);
+  private void writeHosts(ArrayNode body) {
+    Matcher first = NUMBERED.matcher(live.isEmpty() ? "" : live.get(0).host().value());
+    boolean numbered = first.matches();
+    String prefix = numbered ? first.group(1) : "";
+    int digits = numbered ? first.group(2).length() : 0;
+    body.add(prefix).add(digits);
+    ArrayNode hosts = body.addArray();
     for (LiveRange r : live) {
       String name = r.host().value();
       Matcher m = NUMBERED.matcher(name);
@@ -100,8 +106,8 @@
   static DenseRecordBody read(String text) {
     JsonNode n = CompressedJson.unpack(text);
     try {
-      JobSpec spec = JobSpec.read(n.path(SPEC));
-      BitSet done = readDone(n.path(DONE), spec);
+      JobSpec spec = JobSpec.read(Column.SPEC.of(n));
+      BitSet done = readDone(Column.DONE.of(n), spec);
       List<LiveRange> live = readLive(n, spec);
       return done == null || live == null ? null : new DenseRecordBody(spec, done, live);
     } catch (JobSpec.Malformed e) {
@@ -111,6 +117,9 @@
 
   private static BitSet readDone(JsonNode n, JobSpec spec) {
     RoaringBitmap bitmap = new RoaringBitmap();
+    if (n.isTextual() && n.textValue().isEmpty()) {
+      return new BitSet();
+    }
     try {
       byte[] bytes = Base64.getDecoder().decode(Json.text(n));
       bitmap.deserialize(new DataInputStream(new ByteArrayInputStream(bytes)));
@@ -128,9 +137,9 @@
   }
 
   private static List<LiveRange> readLive(JsonNode n, JobSpec spec) {
-    int size = n.path(GAPS).size();
-    for (String column : List.of(COUNTS, HOSTS, SESSIONS, ATTEMPTS)) {
-      if (n.path(column).size() != size) {
+    int size = Column.GAPS.of(n).size();
+    for (Column column : List.of(Column.COUNTS, Column.HOSTS, Column.SESSIONS, Column.ATTEMPTS)) {
+      if (column.of(n).size() != size) {
         return null;
       }
     }
@@ -138,10 +147,10 @@
     long end = 0;
     long attempt = 0;
     for (int i = 0; i < size; i++) {
-      long first = end + n.path(GAPS).path(i).asLong(-1);
-      long count = n.path(COUNTS).path(i).asLong(-1);
-      attempt += n.path(ATTEMPTS).path(i).asLong();
-      String host = host(n, n.path(HOSTS).path(i));
+      long first = end + Column.GAPS.of(n).path(i).asLong(-1);
+      long count = Column.COUNTS.of(n).path(i).asLong(-1);
+      attempt += Column.ATTEMPTS.of(n).path(i).asLong();
+      String host = host(n, Column.HOSTS.of(n).path(i));
       if (first < end || count < 0 || first + count > spec.tasks() || host == null) {
         return null;
       }
@@ -150,7 +159,7 @@
               (int) first,
               (int) count,
               new HostName(host),
-              new Tenure(n.path(SESSIONS).path(i).asLong()),
+              new Tenure(Column.SESSIONS.of(n).path(i).asLong()),
               new Attempt(attempt)));
       end = first + count;
     }
@@ -162,10 +171,10 @@
       return host.textValue();
     }
     long number = Json.count(host);
-    int digits = n.path(HOST_DIGITS).asInt();
+    int digits = Column.HOST_DIGITS.of(n).asInt();
     if (number < 0 || digits < 1 || digits > 9) {
       return null;
     }
-    return Json.text(n.path(HOST_PREFIX)) + String.format("%0" + digits + "d", number);
+    return Json.text(Column.HOST_PREFIX.of(n)) + String.format("%0" + digits + "d", number);
   }
 }
--- a/src/test/java/shorecrank/daemon/ProcessTest.java
+++ b/src/test/java/shorecrank/daemon/ProcessTest.java
@@ -50,12 +50,18 @@
   void commandLineMistakesAreOneLineAndStatusTwo() throws Exception {
     Path bad =
         Files.writeString(dir.resolve("bad.json"), "{\"label\":\"a\",\"public_addr\":\"x\"}");
+    startServices();
+    Path good = config(freePort(), freePort(), "");
+    Path badRollout = Files.writeString(dir.resolve("rollout.textproto"), "settle_s: -1");
     for (List<String> args :
         List.of(
             List.<String>of(),
             List.of("--colour"),
             List.of("--config", dir.resolve("none").toString()),
-            List.of("--config", bad.toString()))) {
+            List.of("--config", bad.toString()),
+            List.of("--config", good.toString(), "--rollout", badRollout.toString()),
+            List.of("explode"),
+            List.of("rollout", "explode"))) {
       Process p = run(args);
       String err = new String(p.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
       assertTrue(p.waitFor(20, TimeUnit.SECONDS));
--- /dev/null
+++ b/src/test/java/shorecrank/rollout/RolloutFormsTest.java
@@ -0,0 +1,160 @@
+package shorecrank.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.TuningFile;
+import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.RolloutMessages;
+import shorecrank.protocol.RolloutMessages.Announcement;
+import shorecrank.protocol.RolloutMessages.FeatureLevel;
+import shorecrank.protocol.RolloutMessages.LevelRange;
+import shorecrank.protocol.RolloutMessages.OrderKind;
+import shorecrank.protocol.RolloutMessages.OrderOutcome;
+import shorecrank.protocol.RolloutMessages.Phase;
+import shorecrank.protocol.RolloutMessages.RolloutState;
+
+/** The level's key, the settings and the votes, against malformed and contradictory input. */
+class RolloutFormsTest {
+  private static final RolloutState STATE =
+      new RolloutState(
+          Phase.FALLING,
+          new FeatureLevel(2),
+          new FeatureLevel(1),
+          "j/wk-7",
+          "a-1",
+          true,
+          List.of(new OrderOutcome("o", OrderKind.DOWNGRADE, true, "falls", "")));
+
+  @Test
+  void theLevelsKeyIsReadAsWritten() {
+    ObjectNode written = RolloutMessages.write(STATE);
+    assertEquals(STATE, RolloutMessages.readState(Json.parse(Json.bytes(written))));
+    assertEquals(1, STATE.writeLevel().value());
+    assertEquals(2, STATE.settled(STATE.level()).writeLevel().value());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "7",
+        "{}",
+        "{'v':2,'phase':'stable','level':1,'target':1,'orders':[]}",
+        "{'v':1,'phase':'sideways','level':1,'target':1,'orders':[]}",
+        "{'v':1,'phase':'stable','level':-1,'target':-1,'orders':[]}",
+        "{'v':1,'phase':'stable','level':1,'target':2,'orders':[]}",
+        "{'v':1,'phase':'raising','level':1,'target':1,'orders':[]}",
+        "{'v':1,'phase':'falling','level':1,'target':2,'orders':[]}",
+        "{'v':1,'phase':'stable','level':1e99,'target':1e99,'orders':[]}",
+        "{'v':1,'phase':'stable','level':1,'target':1}",
+        "{'v':1,'phase':'stable','level':1,'target':1,'orders':[{'id':''}]}"
+      })
+  void aMalformedKeyIsNotRead(String text) {
+    byte[] json = text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    assertNull(RolloutMessages.readState(Json.parse(json)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "{'id':'x','order':'explode'}",
+        "{'order':'abort'}",
+        "{'id':'x','order':'finalize','level':-1}",
+        "{'id':'x','order':'finalize','level':99999999}",
+        "{'id':'x','order':'finalize','level':'1'}"
+      })
+  void aMalformedOrderIsNotRead(String text) {
+    byte[] json = text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    assertNull(RolloutMessages.readOrder(Json.parse(json)));
+  }
+
+  @Test
+  void shippedExampleHoldsTheDefaults() throws Exception {
+    String shipped = Files.readString(Path.of("deploy/rollout.textproto"));
+    assertEquals(RolloutSettings.read(""), RolloutSettings.read(shipped));
+    assertEquals(5, shipped.lines().filter(l -> l.contains(": ") && !l.startsWith("#")).count());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "settle_s: -1, settle_s must be from 0 to 86400",
+    "rewrites_per_s: 0, rewrites_per_s must be from 0.1 to 1000",
+    "archives_kept: 1000, archives_kept must be from 1 to 100",
+    "automatic: perhaps, perhaps",
+    "colour: 3, colour"
+  })
+  void badSettingsNameTheField(String text, String part) {
+    NodeConfig.Invalid e = assertThrows(NodeConfig.Invalid.class, () -> RolloutSettings.read(text));
+    assertTrue(e.getMessage().contains(part), e.getMessage());
+  }
+
+  @Test
+  void theDigestIsOfWhatAllMustShare() throws Exception {
+    String own = SettingsDigest.of(TuningFile.defaults());
+    assertEquals(own, SettingsDigest.of(TuningFile.read("round_ms: 60 clear_s: 9")));
+    for (String other :
+        List.of("parts: 2", "lease_ms: 6000", "leader_ttl_ms: 6000", "grace_ms: 1")) {
+      assertNotEquals(own, SettingsDigest.of(TuningFile.read(other)), other);
+    }
+  }
+
+  private static final NodeLabel A = new NodeLabel("a");
+  private static final NodeLabel B = new NodeLabel("b");
+  private static final FeatureLevel ONE = new FeatureLevel(1);
+
+  private static Announcement announces(int highest, String digest) {
+    return new Announcement(
+        "v", new LevelRange(FeatureLevel.LOWEST, new FeatureLevel(highest)), digest);
+  }
+
+  private static String against(SupportVotes votes, long atMs) {
+    return String.join("; ", votes.reasonsAgainst(ONE, new MonotonicTime(atMs), 4000, 10_000));
+  }
+
+  @Test
+  void eachReasonAgainstARiseIsNamed() {
+    SupportVotes votes = new SupportVotes(List.of(A, B), "d");
+    votes.heard(A, new WriterId("a1"), announces(1, "d"), new MonotonicTime(0));
+    assertTrue(against(votes, 100).contains("b: not heard by this leader yet"));
+    votes.heard(B, new WriterId("b1"), null, new MonotonicTime(0));
+    assertTrue(against(votes, 100).contains("b: announces no levels"));
+    votes.heard(B, new WriterId("b2"), announces(0, "d"), new MonotonicTime(1000));
+    assertTrue(against(votes, 1100).contains("b: build v supports levels 0-0, not 1"));
+    votes.heard(B, new WriterId("b3"), announces(1, "e"), new MonotonicTime(2000));
+    assertTrue(against(votes, 2100).contains("b: its shared settings differ"));
+    votes.heard(B, new WriterId("b4"), announces(1, "d"), new MonotonicTime(3000));
+    assertTrue(against(votes, 3100).contains("b: has announced this for 0 of 10 s"));
+    assertEquals(0, votes.highestOfAll().compareTo(ONE));
+  }
+
+  @Test
+  void aVoteIsOneProcesssAndLately() {
+    SupportVotes votes = new SupportVotes(List.of(A, B), "d");
+    for (long at = 0; at <= 12_000; at += 1000) {
+      votes.heard(A, new WriterId("a1"), announces(1, "d"), new MonotonicTime(at));
+      votes.heard(B, new WriterId("b1"), announces(1, "d"), new MonotonicTime(at));
+    }
+    assertEquals("", against(votes, 12_100));
+    // Silent for long.
+    assertTrue(against(votes, 17_000).contains("a: not heard for 5 s"));
+    // The same label and build, another process: its time begins anew.
+    votes.heard(B, new WriterId("b2"), announces(1, "d"), new MonotonicTime(12_200));
+    assertTrue(against(votes, 12_300).contains("b: has announced this for 0 of 10 s"));
+  }
+}
