--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -1,24 +1,15 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import shorecrank.config.NodeConfig;
-import shorecrank.protocol.CloudMessages;
+import shorecrank.coordination.MachineDirectory.Machine;
 import shorecrank.protocol.CloudMessages.HostType;
-import shorecrank.protocol.CloudMessages.Listed;
-import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.MonotonicTime;
@@ -29,31 +20,21 @@
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages;
-import shorecrank.protocol.PeerMessages.Blocked;
-import shorecrank.protocol.PeerMessages.CapacityRequest;
 import shorecrank.protocol.PeerMessages.Heartbeat;
 import shorecrank.protocol.PeerMessages.HeartbeatAnswer;
 import shorecrank.protocol.PeerMessages.HostInfo;
 import shorecrank.protocol.PeerMessages.Lease;
-import shorecrank.protocol.PeerMessages.MachineAssignment;
 import shorecrank.protocol.PeerMessages.OwnerInfo;
 import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.PeerMessages.WorkerReachability;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.rollout.RolloutCoordinator;
-import shorecrank.storage.Budget;
 
-/** The leading controller's work: epochs, part leases, lending machines, dealing with the cloud. */
+/** The leading controller's work: epochs, shard leases, and which shard gets which machine. */
 final class Leader {
   private static final String EPOCH = "epoch";
   static final String PART = "part/";
-  private static final String HOSTS = "hosts/";
-
-  /** Machines are written down many to a key: a change a machine would take seconds' budgets. */
-  private static final int SHELVES = 32;
-
   private static final int CALL_MS = 1500;
-  private static final int CLOUD_MS = 6000;
 
   private static final class Node {
     WriterId writer;
@@ -82,31 +63,6 @@
     MonotonicTime movedAt = MonotonicTime.NEVER;
   }
 
-  private static final class Host {
-    HostInfo info;
-    PartId part;
-    Epoch term;
-    MonotonicTime since;
-    boolean recall;
-    MonotonicTime listedAt = MonotonicTime.NEVER;
-
-    /** Whether the assignment stands in the store. */
-    boolean recorded;
-
-    /** The lending in which it last changed. */
-    long version;
-  }
-
-  /** A machine that left the list of those lent. */
-  private record Dropped(long version, HostName name) {}
-
-  private record Claim(String name, Offer offer, int count, PartId part) {}
-
-  /** So many claims are under way at once. */
-  private static final int MAX_CLAIMS = 8;
-
-  private static final int SAVE_PAUSE_MS = 1000;
-
   /** So many heartbeats an owner may miss at the end of an outage before it counts as lost. */
   private static final long OWNER_HEARTBEATS = 3;
 
@@ -119,58 +75,13 @@
   /** So long an owner that workers did not reach is not chosen again. */
   private static final int AVOID_MS = 60_000;
 
-  /** A kind that was refused is asked for again after so long, then twice that, up to the most. */
-  private static final long BLOCK_MS = 4_000;
-
-  private static final long BLOCK_MAX_MS = 10_000;
-
-  /**
-   * At least so many removed assignments are kept, and as many as there are machines: a controller
-   * that lags further behind gets all assignments, which is then the shorter message.
-   */
-  private static final int MIN_KEPT_REMOVALS = 1000;
-
-  /** An owner's request for more machines than the cloud could rent in this time is cut there. */
-  private static final int REQUEST_HORIZON_S = 60;
-
-  /** Listing the machines may take this share of the cloud's calls. */
-  private static final double LISTING_SHARE = 0.3;
-
-  /** The machine list is read again after so long at the earliest. */
-  private static final long LIST_PAUSE_MS = 5000;
-
-  /** While no machine is known the list is read more often. */
-  private static final long EMPTY_LIST_PAUSE_MS = 1000;
-
-  /** A page that must wait for the cloud's rate limit is tried again after so long. */
-  private static final long PAGE_RETRY_MS = 200;
-
   private final Ports ports;
   private final Election election;
   private final RolloutCoordinator rollout;
   private final Map<NodeLabel, Node> nodes = new TreeMap<>();
   private final Map<PartId, Part> parts = new TreeMap<>();
-  private final Map<HostName, Host> hosts = new TreeMap<>();
-  private final Map<HostName, MonotonicTime> released = new HashMap<>();
-  private final Map<Offer, MonotonicTime> blockedUntil = new LinkedHashMap<>();
-  private final Map<Offer, Integer> refusals = new HashMap<>();
-  private final Set<HostName> toRelease = new LinkedHashSet<>();
-  private final Set<HostName> releasing = new LinkedHashSet<>();
-  private final ArrayDeque<Claim> claims = new ArrayDeque<>();
-
-  /** Names of claims that may have been carried out. */
-  private final Set<String> tried = new HashSet<>();
-
-  private final Set<Integer> unsaved = new TreeSet<>();
-
-  /**
-   * The stamps of the shelves as last read or written: an own write without an answer may come
-   * after a later one, and must not put what was there before in its place.
-   */
-  private final Map<String, Revision> shelfStamps = new TreeMap<>();
-
-  private MonotonicTime saveAt = new MonotonicTime(0);
-  private final Budget cloudCalls;
+  private final MachineDirectory machines;
+  private final CloudProvisioner cloud;
   private Revision loadedTerm = Revision.ABSENT;
 
   /**
@@ -190,21 +101,6 @@
   private Revision epochStamp = Revision.ABSENT;
   private long epochCounter;
   private boolean minting;
-  private boolean saving;
-  private int claiming;
-  private final ArrayDeque<Dropped> dropped = new ArrayDeque<>();
-  private long droppedFloor;
-  private boolean listing;
-
-  /** The page of the machine list that is to be read next; null while none waits. */
-  private ListedSoFar nextPage;
-
-  private boolean releasingNow;
-  private long claimCount;
-  private long lendVersion;
-  private MonotonicTime listAt = new MonotonicTime(0);
-  private MonotonicTime cloudRetryAt = new MonotonicTime(0);
-  private Map<String, HostType> catalog = Map.of();
 
   /**
    * @param rollout says which controllers may own shards; null if rollouts are not enabled
@@ -213,12 +109,12 @@
     this.ports = ports;
     this.election = election;
     this.rollout = rollout;
-    // Other controllers read the catalog now and then.
-    this.cloudCalls = new Budget(ports.config.cloud().rps() * 0.9);
+    this.machines = new MachineDirectory(ports, election, () -> loadedTerm);
+    this.cloud = new CloudProvisioner(ports, machines, () -> loadedTerm, this::assign, this::meet);
   }
 
   void catalog(Map<String, HostType> c) {
-    catalog = c;
+    cloud.catalog(c);
   }
 
   boolean ready() {
@@ -243,8 +139,8 @@
       awaitOwners();
     }
     assignParts();
-    saveHosts();
-    cloudWork();
+    machines.save();
+    cloud.tick();
   }
 
   /**
@@ -330,9 +226,7 @@
             ownerInDoubt.clear();
           }
           ownerInDoubt.forEach(id -> parts.get(id).vacant = true);
-          hosts.clear();
-          shelfStamps.clear();
-          loadHosts(term, "");
+          machines.load(read -> machinesRead(term, read));
         });
   }
 
@@ -348,80 +242,21 @@
     return ports.tuning.leaseMs() + ports.tuning.leaseMs() / 500 + 20;
   }
 
-  private void loadHosts(Revision term, String after) {
-    ports.state(
-        "GET",
-        StoreMessages.list(HOSTS, after, 500),
-        null,
-        CALL_MS,
-        (status, body) -> {
-          if (status != 200) {
-            loadLater();
-            return;
-          }
-          String last = "";
-          for (StoreMessages.Entry e : StoreMessages.entries(body)) {
-            last = e.key();
-            shelfStamp(e);
-            for (JsonNode v : e.value().path("m")) {
-              Host h = readHost(v);
-              if (h == null) {
-                // Met again, it is assigned anew.
-                ports.unreadable(e.key());
-              } else {
-                hosts.put(h.info.name(), h);
-              }
-            }
-          }
-          if (StoreMessages.more(body) && !last.isEmpty()) {
-            loadHosts(term, last);
-            return;
-          }
-          loading = false;
-          if (election.term().equals(term) && election.leading()) {
-            loadedTerm = term;
-            nodes.clear();
-            claims.clear();
-            tried.clear();
-            unsaved.clear();
-            toRelease.clear();
-            releasing.clear();
-            blockedUntil.clear();
-            saving = false;
-            claiming = 0;
-            listing = false;
-            nextPage = null;
-            releasingNow = false;
-            minting = false;
-            // Above all that was told in this term, should this be a second look in it: else a
-            // controller that lags could take later lendings for those it knows.
-            lendVersion = Math.max(lendVersion + 1, term.value() << 20);
-            dropped.clear();
-            droppedFloor = lendVersion;
-            listAt = ports.now();
-            ports.info(
-                "term %s: epochs up to %d, %d machines known", term, epochCounter, hosts.size());
-          }
-        });
-  }
-
-  /** A machine as it stands on its shelf; null if that makes no sense. */
-  private Host readHost(JsonNode v) {
-    String name = Json.text(v.path(0));
-    long part = Json.count(v.path(4));
-    long term = Json.count(v.path(5));
-    if (name.isEmpty() || part < 0 || part >= ports.tuning.parts() || term < 0) {
-      return null;
+  private void machinesRead(Revision term, boolean read) {
+    if (!read) {
+      loadLater();
+      return;
+    }
+    loading = false;
+    if (election.term().equals(term) && election.leading()) {
+      loadedTerm = term;
+      nodes.clear();
+      minting = false;
+      machines.began(term);
+      cloud.began();
+      ports.info(
+          "term %s: epochs up to %d, %d machines known", term, epochCounter, machines.size());
     }
-    Host h = new Host();
-    h.info =
-        new HostInfo(
-            new HostName(name), Json.text(v.path(1)), Json.text(v.path(2)), v.path(3).asBoolean());
-    h.part = new PartId((int) part);
-    h.term = new Epoch(term);
-    h.since = ports.now();
-    h.recorded = true;
-    return h;
   }
 
   // ---- beats and leases ----------------------------------------------------------------------
@@ -607,7 +442,6 @@
   }
 
   private HeartbeatAnswer answer(Heartbeat b, List<Lease> leases) {
-    MonotonicTime now = ports.now();
     List<OwnerInfo> owners = new ArrayList<>();
     parts.forEach(
         (id, p) -> {
@@ -615,66 +449,25 @@
             owners.add(new OwnerInfo(id, p.owner, p.epoch));
           }
         });
-    // Who knows a lending of this term gets what changed since, others all of it.
-    boolean whole = b.lendVersion() < droppedFloor || b.lendVersion() > lendVersion;
-    List<MachineAssignment> lent = new ArrayList<>();
-    List<HostName> off = new ArrayList<>();
-    if (b.lendVersion() != lendVersion) {
-      for (Host h : hosts.values()) {
-        if (told(h) && (whole || h.version > b.lendVersion())) {
-          lent.add(new MachineAssignment(h.info, h.part, now.since(h.since), h.recall));
-        }
-      }
-      if (!whole) {
-        for (Dropped d : dropped) {
-          Host assigned = hosts.get(d.name);
-          if (d.version > b.lendVersion() && (assigned == null || !told(assigned))) {
-            off.add(d.name);
-          }
-        }
-      }
-    }
-    List<HostName> gone = new ArrayList<>();
-    if (whole) {
-      released.forEach(
-          (h, at) -> {
-            if (now.since(at) < 60_000) {
-              gone.add(h);
-            }
-          });
-    } else {
-      off.stream().filter(released::containsKey).forEach(gone::add);
-    }
-    List<Blocked> blocked = new ArrayList<>();
-    blockedUntil.forEach(
-        (o, until) -> {
-          if (now.before(until)) {
-            blocked.add(new Blocked(o, until.since(now)));
-          }
-        });
+    MachineDirectory.Changes changes = machines.changesSince(b.lendVersion(), parts.size() == 1);
+    List<HostName> gone =
+        changes.whole()
+            ? cloud.releasedLately()
+            : changes.removed().stream().filter(cloud::wasReleased).toList();
     return new HeartbeatAnswer(
         election.term().value(),
         anyOtherOk(b.from()),
         leases,
         owners,
-        lendVersion,
-        whole,
-        lent,
-        off,
+        machines.version(),
+        changes.whole(),
+        changes.assigned(),
+        changes.removed(),
         gone,
-        blocked,
+        cloud.blocked(),
         rollout == null ? null : rollout.notice());
   }
 
-  /**
-   * Whether owners may be told of an assignment. With several shards only once it is written down:
-   * the next leader would otherwise not know of it and might assign the machine to another shard
-   * while it holds tasks. With one shard there is no other.
-   */
-  private boolean told(Host h) {
-    return h.recorded || parts.size() == 1;
-  }
-
   private void assignParts() {
     MonotonicTime now = ports.now();
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
@@ -790,15 +583,15 @@
   // ---- machines ------------------------------------------------------------------------------
 
   private void meet(HostInfo h, String how) {
-    if (hosts.containsKey(h.name()) || releasing.contains(h.name())) {
+    if (machines.contains(h.name()) || cloud.isReleasing(h.name())) {
       return;
     }
-    if (released.containsKey(h.name())) {
+    if (cloud.wasReleased(h.name())) {
       // It reports although its release was answered: a held report, or a list that lags.
       return;
     }
     ports.info("machine %s: %s", h.name(), how);
-    lend(h, neediest());
+    assign(h, neediest());
   }
 
   private PartId neediest() {
@@ -808,13 +601,7 @@
     }
     long most = Long.MIN_VALUE;
     for (Map.Entry<PartId, Part> e : parts.entrySet()) {
-      long have = 0;
-      for (Host h : hosts.values()) {
-        if (h.part.equals(e.getKey())) {
-          have++;
-        }
-      }
-      long need = (e.getValue().queued ? 1000 : 0) - have;
+      long need = (e.getValue().queued ? 1000 : 0) - machines.count(e.getKey());
       if (need > most) {
         most = need;
         best = e.getKey();
@@ -823,231 +610,54 @@
     return best;
   }
 
-  private void lend(HostInfo info, PartId part) {
-    Host h = new Host();
-    h.info = info;
-    h.part = part;
+  private void assign(HostInfo info, PartId part) {
     Part p = parts.get(part);
-    h.term = p == null ? Epoch.NONE : p.epoch;
-    h.since = ports.now();
-    hosts.put(info.name(), h);
-    unsaved.add(shelf(info.name()));
-    h.version = ++lendVersion;
-    ports.info("machine %s: lent to part %s under epoch %s", info.name(), part, h.term);
-    ports.count("machine.lent");
-  }
-
-  private void shelfStamp(StoreMessages.Entry e) {
-    shelfStamps.put(e.key(), e.revision());
-  }
-
-  /**
-   * What stands on a shelf, in as many values as the store's limit on one asks for. One that was
-   * needed before is written empty: every version reads all that is there.
-   */
-  private Map<String, ArrayNode> boards(int shelf, List<Host> on) {
-    Map<String, ArrayNode> boards = new TreeMap<>();
-    double max = ports.config.state().valueKb() * 1024 * 0.9;
-    String key = HOSTS + shelf;
-    ArrayNode board = Json.array();
-    boards.put(key, board);
-    int bytes = 20;
-    for (Host h : on) {
-      ArrayNode one =
-          Json.array()
-              .add(h.info.name().value())
-              .add(h.info.type())
-              .add(h.info.zone())
-              .add(h.info.spot())
-              .add(h.part.value())
-              .add(h.term.value());
-      int more = Json.bytes(one).length + 1;
-      if (bytes + more > max && !board.isEmpty()) {
-        board = Json.array();
-        boards.put(key + "." + boards.size(), board);
-        bytes = 20;
-      }
-      board.add(one);
-      bytes += more;
-    }
-    for (String known : shelfStamps.keySet()) {
-      if (known.startsWith(key + ".") && !boards.containsKey(known)) {
-        boards.put(known, Json.array());
-      }
-    }
-    return boards;
-  }
-
-  /** Something else is on the shelves than we wrote last: a write of ours that came late. */
-  private void readShelfStamps() {
-    saving = true;
-    readShelfStamps("", new ArrayList<>());
-  }
-
-  private void readShelfStamps(String after, List<StoreMessages.Entry> read) {
-    Revision term = loadedTerm;
-    ports.state(
-        "GET",
-        StoreMessages.list(HOSTS, after, 500),
-        null,
-        CALL_MS,
-        (status, body) -> {
-          if (!loadedTerm.equals(term)) {
-            return;
-          }
-          List<StoreMessages.Entry> page = status == 200 ? StoreMessages.entries(body) : List.of();
-          read.addAll(page);
-          if (StoreMessages.more(body) && !page.isEmpty()) {
-            readShelfStamps(page.get(page.size() - 1).key(), read);
-            return;
-          }
-          saving = false;
-          if (status == 200) {
-            shelfStamps.clear();
-            read.forEach(this::shelfStamp);
-          }
-          saveAt = ports.now().plus(SAVE_PAUSE_MS);
-        });
-  }
-
-  private static int shelf(HostName h) {
-    return Math.floorMod(h.value().hashCode(), SHELVES);
-  }
-
-  private void saveHosts() {
-    MonotonicTime now = ports.now();
-    if (saving || unsaved.isEmpty() || now.before(saveAt)) {
-      return;
-    }
-    int most = (int) Math.max(1, Math.min(ports.config.state().txnOps(), ports.writes.rate() / 2));
-    Map<Integer, List<Host>> onShelf = new TreeMap<>();
-    unsaved.forEach(shelf -> onShelf.put(shelf, new ArrayList<>()));
-    for (Host h : hosts.values()) {
-      List<Host> on = onShelf.get(shelf(h.info.name()));
-      if (on != null) {
-        on.add(h);
-      }
-    }
-    List<Integer> batch = new ArrayList<>();
-    Map<String, ArrayNode> values = new TreeMap<>();
-    int bytes = 0;
-    for (Map.Entry<Integer, List<Host>> e : onShelf.entrySet()) {
-      Map<String, ArrayNode> boards = boards(e.getKey(), e.getValue());
-      int more = boards.values().stream().mapToInt(board -> Json.bytes(board).length).sum();
-      boolean full =
-          values.size() + boards.size() > most || bytes + more > StoreMessages.TXN_FILL_BYTES;
-      if (!batch.isEmpty() && full) {
-        break;
-      }
-      batch.add(e.getKey());
-      values.putAll(boards);
-      bytes += more;
-    }
-    if (!ports.writes.has(values.size(), now)) {
-      return;
-    }
-    ports.writes.take(values.size(), now);
-    saving = true;
-    // Machines that come at once are written together.
-    saveAt = now.plus(SAVE_PAUSE_MS);
-    unsaved.removeAll(batch);
-    StoreMessages.Txn t = new StoreMessages.Txn().guard(election.key(), loadedTerm);
-    values.forEach(
-        (key, on) ->
-            t.guard(key, shelfStamps.getOrDefault(key, Revision.ABSENT))
-                .write(key, Json.object().set("m", on)));
-    Revision term = loadedTerm;
-    ports.state(
-        "POST",
-        StoreMessages.MULTI,
-        t.body(),
-        CALL_MS,
-        (status, body) -> {
-          saving = false;
-          if (!loadedTerm.equals(term)) {
-            return;
-          }
-          if (status == 200) {
-            Revision stamp = new Revision(StoreMessages.revision(body));
-            values.keySet().forEach(key -> shelfStamps.put(key, stamp));
-            batch.forEach(shelf -> onShelf.get(shelf).forEach(this::recorded));
-            return;
-          }
-          unsaved.addAll(batch);
-          saveAt = ports.now().plus(SAVE_PAUSE_MS);
-          if (status == 409) {
-            readShelfStamps();
-          }
-        });
-  }
-
-  private void recorded(Host h) {
-    if (!h.recorded) {
-      h.recorded = true;
-      h.version = ++lendVersion;
-    }
+    machines.assign(info, part, p == null ? Epoch.NONE : p.epoch);
   }
 
   /** What an owner asks for its part. */
   private void take(ShardReport pb, long knownVersion) {
     for (HostName h : pb.retire()) {
-      Host x = hosts.get(h);
+      Machine machine = machines.get(h);
       // A machine no longer known may have been released by a leader that could not say so.
-      boolean theirs = x == null ? !released.containsKey(h) : x.part.equals(pb.part());
-      if (theirs && !releasing.contains(h)) {
-        toRelease.add(h);
+      boolean theirs = machine == null ? !cloud.wasReleased(h) : machine.part.equals(pb.part());
+      if (theirs) {
+        cloud.giveBack(h);
       }
     }
     for (HostName h : pb.handedBack()) {
-      Host x = hosts.get(h);
-      if (x != null && x.recall && x.part.equals(pb.part())) {
-        handOver(x, pb.part());
+      Machine machine = machines.get(h);
+      if (machine != null && machine.recall && machine.part.equals(pb.part())) {
+        handOver(machine, pb.part());
       }
     }
-    if (!pb.spare().isEmpty()) {
-      for (Map.Entry<PartId, Part> e : parts.entrySet()) {
-        if (e.getValue().queued && !e.getKey().equals(pb.part())) {
-          Host x = hosts.get(pb.spare().get(0));
-          if (x != null && x.part.equals(pb.part()) && !x.recall) {
-            x.recall = true;
-            x.version = ++lendVersion;
-          }
-          break;
-        }
+    if (!pb.spare().isEmpty() && anotherQueues(pb.part())) {
+      Machine machine = machines.get(pb.spare().get(0));
+      if (machine != null && machine.part.equals(pb.part()) && !machine.recall) {
+        machines.recall(machine, true);
       }
     }
     // An owner that has not yet seen the last lending would ask for the same machines again.
-    boolean allTold = parts.size() == 1 || (unsaved.isEmpty() && !saving);
-    if (knownVersion == lendVersion && allTold && claims.isEmpty() && claiming == 0) {
-      for (CapacityRequest w : pb.wants()) {
-        MonotonicTime until = blockedUntil.get(w.offer());
-        if (w.count() > 0 && (until == null || until.before(ports.now()))) {
-          for (int left = Math.min(w.count(), mostRequested()); left > 0; ) {
-            int n = Math.min(left, CloudMessages.MAX_RENT);
-            claims.add(new Claim("sc-" + loadedTerm + "-" + ++claimCount, w.offer(), n, pb.part()));
-            left -= n;
-          }
-        }
-      }
+    boolean allTold = parts.size() == 1 || machines.isWritten();
+    if (knownVersion == machines.version() && allTold && cloud.isIdle()) {
+      cloud.request(pb.part(), pb.wants());
     }
   }
 
-  private int mostRequested() {
-    double claims = ports.config.cloud().rps() * REQUEST_HORIZON_S;
-    return (int) Math.max(1, claims) * CloudMessages.MAX_RENT;
+  private boolean anotherQueues(PartId but) {
+    return parts.entrySet().stream().anyMatch(e -> e.getValue().queued && !e.getKey().equals(but));
   }
 
   /** Empty of the last part's tasks, and lent on only above its term. */
-  private void handOver(Host x, PartId from) {
+  private void handOver(Machine machine, PartId from) {
     PartId to = neediest();
     if (to.equals(from)) {
-      x.recall = false;
-      x.version = ++lendVersion;
+      machines.recall(machine, false);
       return;
     }
     Part p = parts.get(to);
     Part last = parts.get(from);
-    long term = Math.max(x.term.value(), last == null ? 0 : last.epoch.value());
+    long term = Math.max(machine.term.value(), last == null ? 0 : last.epoch.value());
     if (p.epoch.value() <= term) {
       if (!p.vacant && !minting) {
         mint(to, p, p.owner, p.writer, term);
@@ -1055,227 +665,7 @@
       return;
     }
     // Until the new assignment is written down and told, the machine is nobody's.
-    hosts.remove(x.info.name());
-    drop(x.info.name());
-    lend(x.info, to);
-  }
-
-  // ---- the cloud -----------------------------------------------------------------------------
-
-  private void cloudWork() {
-    MonotonicTime now = ports.now();
-    if (now.before(cloudRetryAt)) {
-      return;
-    }
-    if (!toRelease.isEmpty() && !releasingNow && cloudCalls.tryTake(1, now)) {
-      release();
-    }
-    while (!claims.isEmpty() && claiming < MAX_CLAIMS && cloudCalls.tryTake(1, now)) {
-      claim(claims.poll());
-    }
-    if (!now.before(listAt) && (!listing || nextPage != null) && cloudCalls.tryTake(1, now)) {
-      if (!listing) {
-        listing = true;
-        nextPage = new ListedSoFar("", new HashMap<>());
-      }
-      list(nextPage);
-    }
-  }
-
-  private void release() {
-    releasingNow = true;
-    List<HostName> batch = new ArrayList<>();
-    for (HostName h : toRelease) {
-      if (batch.size() < CloudMessages.MAX_RELEASE) {
-        batch.add(h);
-      }
-    }
-    batch.forEach(toRelease::remove);
-    releasing.addAll(batch);
-    Revision term = loadedTerm;
-    ports.cloud(
-        "POST",
-        CloudMessages.RELEASE,
-        CloudMessages.release(batch),
-        CLOUD_MS,
-        (status, body) -> {
-          if (!loadedTerm.equals(term)) {
-            return;
-          }
-          releasingNow = false;
-          batch.forEach(releasing::remove);
-          if (status == 200) {
-            for (HostName h : batch) {
-              released.put(h, ports.now());
-              Host x = hosts.remove(h);
-              if (x != null) {
-                unsaved.add(shelf(h));
-              }
-              drop(h);
-              ports.info("machine %s: released", h);
-            }
-            ports.count("machine.released");
-          } else {
-            toRelease.addAll(batch);
-            cloudRetryAt = ports.now().plus(1000);
-          }
-        });
-  }
-
-  /** Tells owners that the machine is no longer assigned as they know. */
-  private void drop(HostName h) {
-    dropped.add(new Dropped(++lendVersion, h));
-    while (dropped.size() > Math.max(MIN_KEPT_REMOVALS, hosts.size())) {
-      droppedFloor = dropped.poll().version;
-    }
-  }
-
-  private void claim(Claim c) {
-    claiming++;
-    Revision term = loadedTerm;
-    ports.cloud(
-        "POST",
-        CloudMessages.RENT,
-        CloudMessages.rent(c.name(), c.offer(), c.count()),
-        CLOUD_MS,
-        (status, body) -> {
-          if (!loadedTerm.equals(term)) {
-            return;
-          }
-          claiming--;
-          MonotonicTime now = ports.now();
-          if (status == 200) {
-            List<HostName> got = CloudMessages.rented(body);
-            for (HostName h : got) {
-              if (!hosts.containsKey(h)) {
-                lend(
-                    new HostInfo(h, c.offer().type(), c.offer().zone(), c.offer().spot()),
-                    c.part());
-              }
-            }
-            ports.info("claim %s: %d of %d %s", c.name(), got.size(), c.count(), c.offer());
-            if (got.size() < c.count()) {
-              block(c.offer());
-            } else {
-              refusals.remove(c.offer());
-            }
-          } else if (status == 503 && "no capacity".equals(Json.text(body.path("error")))) {
-            block(c.offer());
-          } else if (status == 400) {
-            ports.error("claim %s: refused as malformed: %s", c.name(), c.offer());
-            block(c.offer());
-          } else {
-            // It may have been carried out: the same name again, and never another for it.
-            claims.addFirst(c);
-            tried.add(c.name());
-            cloudRetryAt = now.plus(1000);
-          }
-        });
-  }
-
-  private void block(Offer o) {
-    // Those not yet sent would be refused too; their owners ask for something else.
-    claims.removeIf(c -> c.offer().equals(o) && !tried.contains(c.name()));
-    if (ports.now().before(blockedUntil.getOrDefault(o, MonotonicTime.NEVER))) {
-      return;
-    }
-    int n = refusals.merge(o, 1, Integer::sum);
-    long ms = Math.min(BLOCK_MAX_MS, BLOCK_MS << Math.min(n - 1, 4));
-    blockedUntil.put(o, ports.now().plus(ms));
-    ports.info("no capacity for %s, again in %d ms", o, ms);
-  }
-
-  /** The machine list as read up to a name; each page is a call of its own. */
-  private record ListedSoFar(String after, Map<HostName, Listed> found) {
-    int pages() {
-      return 1 + found.size() / CloudMessages.MAX_PAGE;
-    }
-  }
-
-  private void list(ListedSoFar soFar) {
-    Revision term = loadedTerm;
-    Map<HostName, Listed> found = soFar.found();
-    nextPage = null;
-    ports.cloud(
-        "GET",
-        CloudMessages.list(soFar.after()),
-        null,
-        CLOUD_MS,
-        (status, body) -> {
-          if (!loadedTerm.equals(term)) {
-            return;
-          }
-          if (status != 200) {
-            listing = false;
-            listAt = ports.now().plus(2000);
-            return;
-          }
-          List<Listed> page = CloudMessages.listed(body);
-          page.forEach(l -> found.put(l.name(), l));
-          if (CloudMessages.more(body) && !page.isEmpty()) {
-            nextPage = new ListedSoFar(page.get(page.size() - 1).name().value(), found);
-            if (cloudCalls.tryTake(1, ports.now())) {
-              list(nextPage);
-            } else {
-              listAt = ports.now().plus(PAGE_RETRY_MS);
-            }
-            return;
-          }
-          listing = false;
-          listAt = ports.now().plus(listPauseMs(soFar.pages()));
-          listed(found.values());
-        });
-  }
-
-  /** So that reading the list, however many pages it has, leaves calls for renting. */
-  private long listPauseMs(int pages) {
-    if (hosts.isEmpty()) {
-      return EMPTY_LIST_PAUSE_MS;
-    }
-    double callsPerMs = ports.config.cloud().rps() * LISTING_SHARE / 1000;
-    return Math.max(LIST_PAUSE_MS, (long) (pages / callsPerMs));
-  }
-
-  private void listed(Collection<Listed> found) {
-    MonotonicTime now = ports.now();
-    long lag = (long) (ports.config.cloud().listLagS() * 2000) + 2000;
-    for (Listed l : found) {
-      MonotonicTime at = released.get(l.name());
-      if (at != null) {
-        if (now.since(at) > lag + 10_000) {
-          // The release was answered, so this can only be a machine that came back under a held
-          // request; return it.
-          released.remove(l.name());
-          toRelease.add(l.name());
-        }
-        continue;
-      }
-      HostType type = catalog.get(l.type());
-      double boot = type == null ? 60 : type.bootS();
-      if (l.state().equals("failed")
-          || (l.state().equals("starting") && l.ageS() > 4 * boot + 60)) {
-        if (!releasing.contains(l.name()) && toRelease.add(l.name())) {
-          ports.info("machine %s: %s for %.0f s, returned", l.name(), l.state(), l.ageS());
-        }
-        continue;
-      }
-      meet(new HostInfo(l.name(), l.type(), l.zone(), l.spot()), "listed as " + l.state());
-      Host h = hosts.get(l.name());
-      if (h != null) {
-        h.listedAt = now;
-      }
-    }
-    // Once listed, a machine stays listed until it is gone; lists lag and go backwards, so this
-    // alone proves nothing. Its release, answered 200, does.
-    for (Host h : hosts.values()) {
-      if (h.listedAt != MonotonicTime.NEVER
-          && now.since(h.listedAt) > lag
-          && !releasing.contains(h.info.name())
-          && toRelease.add(h.info.name())) {
-        ports.info("machine %s: no longer listed", h.info.name());
-      }
-    }
-    released.values().removeIf(at -> now.since(at) > 600_000);
-    ports.gauge("machines", hosts.size());
+    machines.remove(machine.info.name());
+    assign(machine.info, to);
   }
 }
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/MachineDirectory.java
@@ -0,0 +1,430 @@
+package shorecrank.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Revision;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.PeerMessages.HostInfo;
+import shorecrank.protocol.PeerMessages.MachineAssignment;
+import shorecrank.protocol.StoreMessages;
+
+/**
+ * The leader's machines and the shards they are assigned to: in memory, in the state service, and
+ * as numbered changes for the other controllers.
+ */
+final class MachineDirectory {
+  private static final String PREFIX = "hosts/";
+  private static final String MACHINES = "m";
+
+  /** Machines are written down many to a key: a change a machine would take seconds' budgets. */
+  private static final int BUCKETS = 32;
+
+  /** So much of a value is filled; the rest is for what stands around the machines. */
+  private static final double VALUE_FILL = 0.9;
+
+  private static final int VALUE_OVERHEAD_BYTES = 20;
+  private static final int PAGE = 500;
+  private static final int CALL_MS = 1500;
+
+  /** Machines that come at once are written together. */
+  private static final int SAVE_PAUSE_MS = 1000;
+
+  /**
+   * At least so many removals are kept, and as many as there are machines: a controller that lags
+   * further behind gets all assignments, which is then the shorter message.
+   */
+  private static final int MIN_KEPT_REMOVALS = 1000;
+
+  /** A machine and its assignment. */
+  static final class Machine {
+    HostInfo info;
+    PartId part;
+    Epoch term;
+    MonotonicTime since;
+    boolean recall;
+    MonotonicTime listedAt = MonotonicTime.NEVER;
+
+    /** Whether the assignment stands in the state service. */
+    private boolean recorded;
+
+    /** The change in which it was last touched. */
+    private long version;
+  }
+
+  /** A machine that is no longer assigned. */
+  private record Removal(long version, HostName name) {}
+
+  /** What has changed since a controller's version; all assignments if {@code whole}. */
+  record Changes(boolean whole, List<MachineAssignment> assigned, List<HostName> removed) {}
+
+  private final Ports ports;
+  private final Election election;
+  private final Supplier<Revision> loadedTerm;
+  private final Map<HostName, Machine> machines = new TreeMap<>();
+  private final Set<Integer> unsaved = new TreeSet<>();
+
+  /**
+   * The revisions of the keys as last read or written: an own write without an answer may come
+   * after a later one, and must not put what was there before in its place.
+   */
+  private final Map<String, Revision> revisions = new TreeMap<>();
+
+  private final ArrayDeque<Removal> removals = new ArrayDeque<>();
+  private long removalsFrom;
+  private long version;
+  private boolean saving;
+  private MonotonicTime saveAt = new MonotonicTime(0);
+
+  /**
+   * @param loadedTerm the term under which the leader works now; answers of another are ignored
+   */
+  MachineDirectory(Ports ports, Election election, Supplier<Revision> loadedTerm) {
+    this.ports = ports;
+    this.election = election;
+    this.loadedTerm = loadedTerm;
+  }
+
+  boolean contains(HostName name) {
+    return machines.containsKey(name);
+  }
+
+  /** Null if it is not known. */
+  Machine get(HostName name) {
+    return machines.get(name);
+  }
+
+  Collection<Machine> all() {
+    return machines.values();
+  }
+
+  int size() {
+    return machines.size();
+  }
+
+  /** How many machines a shard has. */
+  long count(PartId part) {
+    return machines.values().stream().filter(m -> m.part.equals(part)).count();
+  }
+
+  /** The number of the last change. */
+  long version() {
+    return version;
+  }
+
+  /** Whether all assignments stand in the state service. */
+  boolean isWritten() {
+    return unsaved.isEmpty() && !saving;
+  }
+
+  // ---- changes ---------------------------------------------------------------------------------
+
+  /** A machine belongs to a shard from now on, under the shard's epoch. */
+  void assign(HostInfo info, PartId part, Epoch term) {
+    Machine machine = new Machine();
+    machine.info = info;
+    machine.part = part;
+    machine.term = term;
+    machine.since = ports.now();
+    machines.put(info.name(), machine);
+    unsaved.add(bucket(info.name()));
+    machine.version = ++version;
+    ports.info("machine %s: lent to part %s under epoch %s", info.name(), part, machine.term);
+    ports.count("machine.lent");
+  }
+
+  /** The owner is to let the machine run empty and hand it back, or may keep it after all. */
+  void recall(Machine machine, boolean recall) {
+    machine.recall = recall;
+    machine.version = ++version;
+  }
+
+  /** A machine is no longer assigned as owners know. */
+  void remove(HostName name) {
+    if (machines.remove(name) != null) {
+      unsaved.add(bucket(name));
+    }
+    removals.add(new Removal(++version, name));
+    while (removals.size() > Math.max(MIN_KEPT_REMOVALS, machines.size())) {
+      removalsFrom = removals.poll().version;
+    }
+  }
+
+  /** Who knows a version of this term gets what changed since, others all of it. */
+  Changes changesSince(long known, boolean oneShard) {
+    boolean whole = known < removalsFrom || known > version;
+    List<MachineAssignment> assigned = new ArrayList<>();
+    List<HostName> removed = new ArrayList<>();
+    if (known == version) {
+      return new Changes(whole, assigned, removed);
+    }
+    for (Machine m : machines.values()) {
+      if (mayTell(m, oneShard) && (whole || m.version > known)) {
+        long ageMs = ports.now().since(m.since);
+        assigned.add(new MachineAssignment(m.info, m.part, ageMs, m.recall));
+      }
+    }
+    if (!whole) {
+      for (Removal r : removals) {
+        Machine again = machines.get(r.name);
+        if (r.version > known && (again == null || !mayTell(again, oneShard))) {
+          removed.add(r.name);
+        }
+      }
+    }
+    return new Changes(whole, assigned, removed);
+  }
+
+  /**
+   * Whether owners may be told of an assignment. With several shards only once it is written down:
+   * the next leader would otherwise not know of it and might assign the machine to another shard
+   * while it holds tasks. With one shard there is no other.
+   */
+  private static boolean mayTell(Machine machine, boolean oneShard) {
+    return machine.recorded || oneShard;
+  }
+
+  // ---- reading ---------------------------------------------------------------------------------
+
+  /** Reads all assignments anew; {@code then} is told whether that succeeded. */
+  void load(Consumer<Boolean> then) {
+    machines.clear();
+    revisions.clear();
+    loadPage("", then);
+  }
+
+  private void loadPage(String after, Consumer<Boolean> then) {
+    ports.state(
+        "GET",
+        StoreMessages.list(PREFIX, after, PAGE),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (status != 200) {
+            then.accept(false);
+            return;
+          }
+          List<StoreMessages.Entry> page = StoreMessages.entries(body);
+          page.forEach(this::take);
+          if (StoreMessages.more(body) && !page.isEmpty()) {
+            loadPage(page.get(page.size() - 1).key(), then);
+          } else {
+            then.accept(true);
+          }
+        });
+  }
+
+  private void take(StoreMessages.Entry entry) {
+    revisions.put(entry.key(), entry.revision());
+    for (JsonNode one : entry.value().path(MACHINES)) {
+      Machine machine = read(one);
+      if (machine == null) {
+        // Met again, it is assigned anew.
+        ports.unreadable(entry.key());
+      } else {
+        machines.put(machine.info.name(), machine);
+      }
+    }
+  }
+
+  /** Null if the value is no machine's. */
+  private Machine read(JsonNode n) {
+    String name = Json.text(n.path(0));
+    long part = Json.count(n.path(4));
+    long term = Json.count(n.path(5));
+    if (name.isEmpty() || part < 0 || part >= ports.tuning.parts() || term < 0) {
+      return null;
+    }
+    Machine machine = new Machine();
+    machine.info =
+        new HostInfo(
+            new HostName(name), Json.text(n.path(1)), Json.text(n.path(2)), n.path(3).asBoolean());
+    machine.part = new PartId((int) part);
+    machine.term = new Epoch(term);
+    machine.since = ports.now();
+    machine.recorded = true;
+    return machine;
+  }
+
+  /** What was read is in force under a term. */
+  void began(Revision term) {
+    unsaved.clear();
+    saving = false;
+    // Above all that was told in this term, should this be a second look in it: else a controller
+    // that lags could take later changes for those it knows.
+    version = Math.max(version + 1, term.value() << 20);
+    removals.clear();
+    removalsFrom = version;
+  }
+
+  // ---- writing ---------------------------------------------------------------------------------
+
+  private static int bucket(HostName name) {
+    return Math.floorMod(name.value().hashCode(), BUCKETS);
+  }
+
+  /**
+   * What stands in a bucket, in as many values as the limit on one asks for. One that was needed
+   * before is written empty: every version reads all that is there.
+   */
+  private Map<String, ArrayNode> values(int bucket, List<Machine> inBucket) {
+    Map<String, ArrayNode> values = new TreeMap<>();
+    double max = ports.config.state().valueKb() * 1024 * VALUE_FILL;
+    String key = PREFIX + bucket;
+    ArrayNode value = Json.array();
+    values.put(key, value);
+    int bytes = VALUE_OVERHEAD_BYTES;
+    for (Machine m : inBucket) {
+      ArrayNode one = write(m);
+      int more = Json.bytes(one).length + 1;
+      if (bytes + more > max && !value.isEmpty()) {
+        value = Json.array();
+        values.put(key + "." + values.size(), value);
+        bytes = VALUE_OVERHEAD_BYTES;
+      }
+      value.add(one);
+      bytes += more;
+    }
+    for (String known : revisions.keySet()) {
+      if (known.startsWith(key + ".") && !values.containsKey(known)) {
+        values.put(known, Json.array());
+      }
+    }
+    return values;
+  }
+
+  private static ArrayNode write(Machine m) {
+    return Json.array()
+        .add(m.info.name().value())
+        .add(m.info.type())
+        .add(m.info.zone())
+        .add(m.info.spot())
+        .add(m.part.value())
+        .add(m.term.value());
+  }
+
+  /** Buckets that are written in one transaction, and their values. */
+  private record Batch(Map<Integer, List<Machine>> buckets, Map<String, ArrayNode> values) {}
+
+  /** Writes what is not yet written, as the budget allows. */
+  void save() {
+    MonotonicTime now = ports.now();
+    if (saving || unsaved.isEmpty() || now.before(saveAt)) {
+      return;
+    }
+    Batch batch = nextBatch();
+    if (!ports.writes.has(batch.values.size(), now)) {
+      return;
+    }
+    ports.writes.take(batch.values.size(), now);
+    saving = true;
+    saveAt = now.plus(SAVE_PAUSE_MS);
+    unsaved.removeAll(batch.buckets.keySet());
+    Revision term = loadedTerm.get();
+    StoreMessages.Txn txn = new StoreMessages.Txn().guard(election.key(), term);
+    batch.values.forEach(
+        (key, machinesOfKey) ->
+            txn.guard(key, revisions.getOrDefault(key, Revision.ABSENT))
+                .write(key, Json.object().set(MACHINES, machinesOfKey)));
+    ports.state(
+        "POST",
+        StoreMessages.MULTI,
+        txn.body(),
+        CALL_MS,
+        (status, body) -> {
+          saving = false;
+          if (loadedTerm.get().equals(term)) {
+            saved(batch, status, body);
+          }
+        });
+  }
+
+  private Batch nextBatch() {
+    Map<Integer, List<Machine>> byBucket = new TreeMap<>();
+    unsaved.forEach(bucket -> byBucket.put(bucket, new ArrayList<>()));
+    for (Machine m : machines.values()) {
+      List<Machine> inBucket = byBucket.get(bucket(m.info.name()));
+      if (inBucket != null) {
+        inBucket.add(m);
+      }
+    }
+    int most = (int) Math.max(1, Math.min(ports.config.state().txnOps(), ports.writes.rate() / 2));
+    Batch batch = new Batch(new TreeMap<>(), new TreeMap<>());
+    int bytes = 0;
+    for (Map.Entry<Integer, List<Machine>> e : byBucket.entrySet()) {
+      Map<String, ArrayNode> values = values(e.getKey(), e.getValue());
+      int more = values.values().stream().mapToInt(value -> Json.bytes(value).length).sum();
+      boolean full =
+          batch.values.size() + values.size() > most || bytes + more > StoreMessages.TXN_FILL_BYTES;
+      if (!batch.buckets.isEmpty() && full) {
+        break;
+      }
+      batch.buckets.put(e.getKey(), e.getValue());
+      batch.values.putAll(values);
+      bytes += more;
+    }
+    return batch;
+  }
+
+  private void saved(Batch batch, int status, JsonNode body) {
+    if (status == 200) {
+      Revision revision = new Revision(StoreMessages.revision(body));
+      batch.values.keySet().forEach(key -> revisions.put(key, revision));
+      batch.buckets.values().forEach(inBucket -> inBucket.forEach(this::recorded));
+      return;
+    }
+    unsaved.addAll(batch.buckets.keySet());
+    saveAt = ports.now().plus(SAVE_PAUSE_MS);
+    if (status == 409) {
+      // Something else is there than we wrote last: a write of ours that came late.
+      saving = true;
+      readRevisions("", new ArrayList<>());
+    }
+  }
+
+  private void recorded(Machine machine) {
+    if (!machine.recorded) {
+      machine.recorded = true;
+      machine.version = ++version;
+    }
+  }
+
+  private void readRevisions(String after, List<StoreMessages.Entry> read) {
+    Revision term = loadedTerm.get();
+    ports.state(
+        "GET",
+        StoreMessages.list(PREFIX, after, PAGE),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          if (!loadedTerm.get().equals(term)) {
+            return;
+          }
+          List<StoreMessages.Entry> page = status == 200 ? StoreMessages.entries(body) : List.of();
+          read.addAll(page);
+          if (StoreMessages.more(body) && !page.isEmpty()) {
+            readRevisions(page.get(page.size() - 1).key(), read);
+            return;
+          }
+          saving = false;
+          if (status == 200) {
+            revisions.clear();
+            read.forEach(e -> revisions.put(e.key(), e.revision()));
+          }
+          saveAt = ports.now().plus(SAVE_PAUSE_MS);
+        });
+  }
+}
--- a/src/main/java/shorecrank/coordination/RolloutPorts.java
+++ b/src/main/java/shorecrank/coordination/RolloutPorts.java
@@ -40,6 +40,11 @@
     return ports.requests.has(1, ports.now());
   }
 
+  @Override
+  public double changesPerSecond() {
+    return ports.config.state().writeRps();
+  }
+
   @Override
   public int transactionOperations() {
     return ports.config.state().txnOps();
--- a/src/main/java/shorecrank/rollout/RecordRewriter.java
+++ b/src/main/java/shorecrank/rollout/RecordRewriter.java
@@ -26,6 +26,10 @@
  */
 final class RecordRewriter {
   private static final int PAGE = 100;
+
+  /** So much of what the state service takes is used at the most, whatever rate is configured. */
+  private static final double SHARE = 0.2;
+
   private static final long RETRY_MS = 500;
   private static final long TOO_LARGE_RETRY_MS = 2000;
 
@@ -59,6 +63,7 @@
   private long unreadable;
 
   /**
+   * @param rewritesPerS the rate that operators allow
    * @param cursor the last key that an earlier pass to the same level has left behind, or empty
    */
   RecordRewriter(
@@ -73,7 +78,9 @@
     Set<String> sorted = new TreeSet<>();
     features.forEach(f -> sorted.add(f.prefix()));
     this.prefixes = List.copyOf(sorted);
-    this.budget = new Budget(rewritesPerS);
+    // Its own share: what the leader writes otherwise needs little.
+    double most = environment.changesPerSecond() * SHARE;
+    this.budget = new Budget(Math.min(rewritesPerS, most));
     this.cursor = cursor;
     this.done = prefixes.isEmpty();
   }
@@ -182,10 +189,7 @@
       txn.guard(next.entry().key(), next.entry().revision())
           .write(next.entry().key(), next.value());
     }
-    if (batch.isEmpty() || !environment.takeWrites(batch.size())) {
-      for (int i = batch.size() - 1; i >= 0; i--) {
-        pending.addFirst(batch.get(i));
-      }
+    if (batch.isEmpty()) {
       return;
     }
     busy = true;
--- a/src/main/java/shorecrank/rollout/RolloutEnvironment.java
+++ b/src/main/java/shorecrank/rollout/RolloutEnvironment.java
@@ -26,6 +26,9 @@
   /** Whether the state service takes another request of this kind now, which can wait. */
   boolean takeRequest();
 
+  /** The changes that the state service takes in a second, from all controllers together. */
+  double changesPerSecond();
+
   /** The operations a transaction may have. */
   int transactionOperations();
 
--- /dev/null
+++ b/src/test/java/shorecrank/sim/RolloutMeasurementTest.java
@@ -0,0 +1,174 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.RolloutMessages.Phase;
+import shorecrank.rollout.ArchiveKeys;
+import shorecrank.storage.JobRecord;
+
+/** What rises and falls of the level cost, in simulated time. */
+@Tag("scale")
+class RolloutMeasurementTest {
+  private static final int JOBS = 1000;
+  private static final long FALL_AT_MS = 120_000;
+  private static final long STEP_MS = 100;
+
+  /** Counts of what reached the state service. */
+  private static final class Traffic {
+    int requests;
+    int changes;
+    long bytes;
+    int rewrites;
+  }
+
+  @ParameterizedTest
+  @CsvSource({"5, 50", "1000, 50", "1000, 100"})
+  void downgradeOfAThousandJobs(double rewritesPerS, int writesPerS) throws Exception {
+    Scenario scenario = new Scenario("downgrade", site(rewritesPerS, writesPerS));
+    Traffic traffic = new Traffic();
+    long[] fell = {-1};
+    int[] requestsBefore = {0};
+    scenario.prepare =
+        w -> {
+          Consumer<JsonNode> rules = w.store.beforeApply;
+          w.store.beforeApply =
+              operations -> {
+                rules.accept(operations);
+                if (w.rollouts.state().phase() == Phase.FALLING) {
+                  count(w, traffic, operations);
+                }
+              };
+          w.sim.at(FALL_AT_MS, () -> requestsBefore[0] = w.store.requests);
+          watch(w, fell, traffic, requestsBefore);
+        };
+    assertEquals(List.of(), scenario.play(1, false));
+    World w = scenario.world;
+    assertEquals(0, w.rollouts.dense());
+    long durationMs = fell[0] - FALL_AT_MS;
+    System.out.printf(
+        Locale.ROOT,
+        "downgrade, %.0f rewrites/s allowed, %d changes/s taken: %.1f s, %d records rewritten,"
+            + " %d changes, %d requests, %.0f KB; acceptance before %s, during %s%n",
+        rewritesPerS,
+        writesPerS,
+        durationMs / 1000.0,
+        traffic.rewrites,
+        traffic.changes,
+        traffic.requests,
+        traffic.bytes / 1024.0,
+        acceptance(w, FALL_AT_MS - durationMs, FALL_AT_MS),
+        acceptance(w, FALL_AT_MS, fell[0]));
+    assertTrue(traffic.rewrites >= JOBS * 0.8, "rewritten " + traffic.rewrites);
+  }
+
+  private static String site(double rewritesPerS, int writesPerS) {
+    return String.format(
+        Locale.ROOT,
+        """
+        nodes 3
+        zones a,b
+        state rps=200 writes=%2$d ops=16 value=16
+        type c64 cpus=64 mem=256 boot=20 zones=a,b
+         machines c64 a 20
+         machines c64 b 20
+        capacity 40
+        rollout settle_s: 5
+        rollout rewrites_per_s: %1$.1f
+        at 5 burst 10000 0.04 45 long pieces=1 cpus=2 run=600 mem=1
+        at 6 burst 1 2 300 c pieces=2 cpus=1 run=5 mem=1
+        at 10 order n0 up finalize 1
+        at 110 expect level 1
+        at 120 order n1 down downgrade 0
+        at 399 expect level 0
+        until 400
+        """,
+        rewritesPerS,
+        writesPerS);
+  }
+
+  private static void watch(World w, long[] fell, Traffic traffic, int[] requestsBefore) {
+    if (w.rollouts.falls > 0) {
+      fell[0] = w.sim.now;
+      traffic.requests = w.store.requests - requestsBefore[0];
+      return;
+    }
+    w.sim.after(STEP_MS, () -> watch(w, fell, traffic, requestsBefore));
+  }
+
+  private static void count(World w, Traffic traffic, JsonNode operations) {
+    traffic.changes += operations.size();
+    for (JsonNode o : operations) {
+      traffic.bytes += Json.bytes(o).length;
+      String key = o.path("write").asText();
+      boolean was = key.startsWith(JobRecord.LIVE) && JobRecord.isDense(w.store.peek(key));
+      traffic.rewrites += was ? 1 : 0;
+    }
+  }
+
+  /** Mean and longest time until users' submissions were accepted. */
+  private static String acceptance(World w, long fromMs, long toMs) {
+    var stats =
+        w.checker.acceptances.stream()
+            .filter(a -> a.submittedAt() >= fromMs && a.submittedAt() < toMs)
+            .mapToLong(Checker.Acceptance::afterMs)
+            .summaryStatistics();
+    return "%d of mean %.0f ms, longest %d ms"
+        .formatted(stats.getCount(), stats.getAverage(), stats.getMax());
+  }
+
+  @Test
+  void riseAfterTheLastUpgrade() throws Exception {
+    for (String archive : List.of("true", "false")) {
+      String text =
+          """
+          nodes 3
+          zones a,b
+          type p8 cpus=8 mem=32 boot=20 zones=a,b
+           machines p8 a 4
+           machines p8 b 4
+          capacity 8
+          rollout settle_s: 30
+          rollout automatic: true
+          rollout archive_before_raise: %s
+          levels none,none,none
+          at 5 burst 1 0.5 150 c pieces=2 cpus=1 run=6
+          at 20 roll n0 0-1 1
+          at 40 roll n1 0-1 1
+          at 60 roll n2 0-1 1
+          until 160
+          """
+              .formatted(archive);
+      Scenario scenario = new Scenario("rise", text);
+      long[] rose = {-1};
+      scenario.prepare = w -> watchRise(w, rose);
+      assertEquals(List.of(), scenario.play(1, false));
+      World w = scenario.world;
+      long bytes =
+          w.store.keys(ArchiveKeys.CHUNKS).stream()
+              .mapToLong(key -> ArchiveKeys.readChunk(w.store.peek(key)).length)
+              .sum();
+      System.out.printf(
+          "rise: archive %s: %.1f s from the last upgraded process to the level; archive %d bytes%n",
+          archive, (rose[0] - 61_000) / 1000.0, bytes);
+      assertEquals(1, w.rollouts.rises);
+    }
+  }
+
+  private static void watchRise(World w, long[] rose) {
+    if (w.rollouts.rises > 0) {
+      rose[0] = w.sim.now;
+    } else {
+      w.sim.after(STEP_MS, () -> watchRise(w, rose));
+    }
+  }
+}
--- a/src/test/java/shorecrank/sim/Store.java
+++ b/src/test/java/shorecrank/sim/Store.java
@@ -40,6 +40,9 @@
   int valueKb = 16;
   int requests;
 
+  /** How long ago the transaction was sent that is being carried out late. */
+  long lateByMs;
+
   /** Told what a transaction changes, right before it does. */
   Consumer<JsonNode> beforeApply = operations -> {};
 
