--- a/src/main/java/shorecrank/client/ArchiveCommand.java
+++ b/src/main/java/shorecrank/client/ArchiveCommand.java
@@ -11,11 +11,9 @@
 import java.nio.file.StandardCopyOption;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.UUID;
 import java.util.function.Consumer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
-import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import shorecrank.client.ControllerClient.Answer;
 import shorecrank.client.ControllerClient.Unknown;
@@ -42,18 +40,13 @@
   int create(
       @Mixin ClientOptions options,
       @Parameters(paramLabel = "FILE", description = "where it goes") Path file,
-      @Option(
-              names = "--id",
-              paramLabel = "ID",
-              description = "names this order: under one id it is carried out once")
-          String id) {
+      @Mixin OrderOptions named) {
     ControllerClient client = options.client();
-    String named = id == null ? UUID.randomUUID().toString() : id;
     try {
       Answer answer =
           client.post(
               RolloutMessages.ORDERS,
-              RolloutMessages.write(new Order(named, OrderKind.ARCHIVE, -1)));
+              RolloutMessages.write(new Order(named.idOrNew(), OrderKind.ARCHIVE, -1)));
       if (answer.status() != OK) {
         return options.show(answer, "");
       }
--- a/src/main/java/shorecrank/client/RolloutCommand.java
+++ b/src/main/java/shorecrank/client/RolloutCommand.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintWriter;
-import java.util.UUID;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -40,12 +39,8 @@
               paramLabel = "N",
               description = "the level; by default the highest that the leader supports")
           Integer level,
-      @Option(
-              names = "--id",
-              paramLabel = "ID",
-              description = "names this order: under one id it is carried out once")
-          String id) {
-    return order(options, OrderKind.FINALIZE, level, id);
+      @Mixin OrderOptions order) {
+    return order(options, OrderKind.FINALIZE, level, order);
   }
 
   @Command(
@@ -55,37 +50,27 @@
       @Mixin ClientOptions options,
       @Option(names = "--level", paramLabel = "N", description = "the level; by default 0")
           Integer level,
-      @Option(
-              names = "--id",
-              paramLabel = "ID",
-              description = "names this order: under one id it is carried out once")
-          String id) {
-    return order(options, OrderKind.DOWNGRADE, level, id);
+      @Mixin OrderOptions order) {
+    return order(options, OrderKind.DOWNGRADE, level, order);
   }
 
   @Command(name = "abort", description = "Stops a rise or a fall; the level stays what it is.")
-  int abort(
-      @Mixin ClientOptions options,
-      @Option(
-              names = "--id",
-              paramLabel = "ID",
-              description = "names this order: under one id it is carried out once")
-          String id) {
-    return order(options, OrderKind.ABORT, null, id);
+  int abort(@Mixin ClientOptions options, @Mixin OrderOptions order) {
+    return order(options, OrderKind.ABORT, null, order);
   }
 
-  private static int order(ClientOptions options, OrderKind kind, Integer level, String id) {
+  private static int order(
+      ClientOptions options, OrderKind kind, Integer level, OrderOptions named) {
     if (level != null && level < 0) {
       throw options.usage("--level must be 0 or more");
     }
-    String named = id == null ? UUID.randomUUID().toString() : id;
-    Order order = new Order(named, kind, level == null ? -1 : level);
+    Order order = new Order(named.idOrNew(), kind, level == null ? -1 : level);
     try {
       Answer answer = options.client().post(RolloutMessages.ORDERS, RolloutMessages.write(order));
       return options.show(answer, answer.reason());
     } catch (Unknown e) {
       if (!options.json()) {
-        options.complain(ExitStatus.UNKNOWN, "send the same order again with --id " + named);
+        options.complain(ExitStatus.UNKNOWN, "send the same order again with --id " + order.id());
       }
       return options.unknown(e);
     }
--- a/src/main/java/shorecrank/coordination/MachineDirectory.java
+++ b/src/main/java/shorecrank/coordination/MachineDirectory.java
@@ -203,10 +203,20 @@
   void load(Consumer<Boolean> then) {
     machines.clear();
     revisions.clear();
-    loadPage("", then);
+    readPages(
+        "",
+        new ArrayList<>(),
+        entries -> {
+          if (entries != null) {
+            entries.forEach(this::take);
+          }
+          then.accept(entries != null);
+        });
   }
 
-  private void loadPage(String after, Consumer<Boolean> then) {
+  /** Reads all keys, page by page; {@code then} takes null if one page could not be read. */
+  private void readPages(
+      String after, List<StoreMessages.Entry> read, Consumer<List<StoreMessages.Entry>> then) {
     ports.state(
         "GET",
         StoreMessages.list(PREFIX, after, PAGE),
@@ -214,15 +224,15 @@
         CALL_MS,
         (status, body) -> {
           if (status != 200) {
-            then.accept(false);
+            then.accept(null);
             return;
           }
           List<StoreMessages.Entry> page = StoreMessages.entries(body);
-          page.forEach(this::take);
+          read.addAll(page);
           if (StoreMessages.more(body) && !page.isEmpty()) {
-            loadPage(page.get(page.size() - 1).key(), then);
+            readPages(page.get(page.size() - 1).key(), read, then);
           } else {
-            then.accept(true);
+            then.accept(read);
           }
         });
   }
@@ -390,8 +400,7 @@
     saveAt = ports.now().plus(SAVE_PAUSE_MS);
     if (status == 409) {
       // Something else is there than we wrote last: a write of ours that came late.
-      saving = true;
-      readRevisions("", new ArrayList<>());
+      readRevisions();
     }
   }
 
@@ -402,27 +411,20 @@
     }
   }
 
-  private void readRevisions(String after, List<StoreMessages.Entry> read) {
+  private void readRevisions() {
     Revision term = loadedTerm.get();
-    ports.state(
-        "GET",
-        StoreMessages.list(PREFIX, after, PAGE),
-        null,
-        CALL_MS,
-        (status, body) -> {
+    saving = true;
+    readPages(
+        "",
+        new ArrayList<>(),
+        entries -> {
           if (!loadedTerm.get().equals(term)) {
             return;
           }
-          List<StoreMessages.Entry> page = status == 200 ? StoreMessages.entries(body) : List.of();
-          read.addAll(page);
-          if (StoreMessages.more(body) && !page.isEmpty()) {
-            readRevisions(page.get(page.size() - 1).key(), read);
-            return;
-          }
           saving = false;
-          if (status == 200) {
+          if (entries != null) {
             revisions.clear();
-            read.forEach(e -> revisions.put(e.key(), e.revision()));
+            entries.forEach(e -> revisions.put(e.key(), e.revision()));
           }
           saveAt = ports.now().plus(SAVE_PAUSE_MS);
         });
--- a/src/test/java/shorecrank/sim/MixedVersionsTest.java
+++ b/src/test/java/shorecrank/sim/MixedVersionsTest.java
@@ -173,15 +173,7 @@
   // ---- the site and its load -------------------------------------------------------------------
 
   private void describeSite() {
-    world.zones = List.of("a", "b");
-    World.TypePlan type = new World.TypePlan();
-    type.cpus = 8;
-    type.memoryGb = 32;
-    type.bootS = 5;
-    type.zones = world.zones;
-    world.types.put("p8", type);
-    world.teamMax.put("t", 24.0);
-    world.teamMax.put("u", 0.0);
+    world.describeSmallSite();
     world.cloud.capacity = 6;
     world.nextValueKb = 2;
     world.nextTxnOps = 5;
--- a/src/test/java/shorecrank/sim/ProcessFleet.java
+++ b/src/test/java/shorecrank/sim/ProcessFleet.java
@@ -34,15 +34,7 @@
   ProcessFleet(long seed, Version first, int machines) throws Exception {
     Path logs = Files.createDirectories(ProgramVersions.BASE.resolve("target/process-fleet"));
     world = new ProcessWorld(seed, first, Files.createTempDirectory(logs, "run"));
-    world.zones = List.of("a", "b");
-    World.TypePlan type = new World.TypePlan();
-    type.cpus = 8;
-    type.memoryGb = 32;
-    type.bootS = 5;
-    type.zones = world.zones;
-    world.types.put("p8", type);
-    world.teamMax.put("t", 24.0);
-    world.teamMax.put("u", 0.0);
+    world.describeSmallSite();
     world.cloud.capacity = machines + 2;
     world.users.closeLooks(600_000);
     world.rollouts.observe();
