--- a/src/main/java/shorecrank/client/ClientOptions.java
+++ b/src/main/java/shorecrank/client/ClientOptions.java
@@ -11,6 +11,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import shorecrank.client.ControllerClient.Answer;
+import shorecrank.protocol.RolloutMessages;
 
 /** The options of every command that asks controllers, and how answers are shown. */
 final class ClientOptions {
@@ -96,7 +97,7 @@
   /** The answer when nobody can tell. */
   int unknown(ControllerClient.Unknown e) {
     if (json) {
-      JsonNode unknown = shorecrank.protocol.RolloutMessages.unknown(e.getMessage());
+      JsonNode unknown = RolloutMessages.unknown(e.getMessage());
       out().println(unknown.toPrettyString());
       return ExitStatus.UNKNOWN;
     }
