A batch of assignments is no longer serialised twice for its size

ScaleTest (1,000 to 4,200 machines), parts, fleet, lower-limits, assigned-unwritten and mix are green with it.

--- a/src/main/java/shorecrank/coordination/MachineDirectory.java
+++ b/src/main/java/shorecrank/coordination/MachineDirectory.java
@@ -286,12 +286,16 @@
     return Math.floorMod(name.value().hashCode(), BUCKETS);
   }
 
+  /** The values of a bucket by key, and about how many bytes they have together. */
+  private record BucketValues(Map<String, ArrayNode> byKey, int bytes) {}
+
   /**
    * What stands in a bucket, in as many values as the limit on one asks for. One that was needed
    * before is written empty: every version reads all that is there.
    */
-  private Map<String, ArrayNode> values(int bucket, List<Machine> inBucket) {
+  private BucketValues values(int bucket, List<Machine> inBucket) {
     Map<String, ArrayNode> values = new TreeMap<>();
+    int allBytes = 0;
     double max = ports.config.state().valueKb() * 1024 * VALUE_FILL;
     String key = PREFIX + bucket;
     ArrayNode value = Json.array();
@@ -303,6 +307,7 @@
       if (bytes + more > max && !value.isEmpty()) {
         value = Json.array();
         values.put(key + "." + values.size(), value);
+        allBytes += bytes;
         bytes = VALUE_OVERHEAD_BYTES;
       }
       value.add(one);
@@ -313,7 +318,7 @@
         values.put(known, Json.array());
       }
     }
-    return values;
+    return new BucketValues(values, allBytes + bytes);
   }
 
   private static ArrayNode write(Machine m) {
@@ -375,16 +380,16 @@
     Batch batch = new Batch(new TreeMap<>(), new TreeMap<>());
     int bytes = 0;
     for (Map.Entry<Integer, List<Machine>> e : byBucket.entrySet()) {
-      Map<String, ArrayNode> values = values(e.getKey(), e.getValue());
-      int more = values.values().stream().mapToInt(value -> Json.bytes(value).length).sum();
+      BucketValues values = values(e.getKey(), e.getValue());
       boolean full =
-          batch.values.size() + values.size() > most || bytes + more > StoreMessages.TXN_FILL_BYTES;
+          batch.values.size() + values.byKey.size() > most
+              || bytes + values.bytes > StoreMessages.TXN_FILL_BYTES;
       if (!batch.buckets.isEmpty() && full) {
         break;
       }
       batch.buckets.put(e.getKey(), e.getValue());
-      batch.values.putAll(values);
-      bytes += more;
+      batch.values.putAll(values.byKey);
+      bytes += values.bytes;
     }
     return batch;
   }
