No lease for the last owner while a successor's epoch is being minted

Cause: a lease that has lapsed made the leader mint an epoch for a successor. If the transaction took long, the last owner could come back meanwhile and was granted its lease once more, which then ran beside the successor's.

Change: while a mint is under way, only the process it is for gets the lease.

--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -52,6 +52,10 @@
     boolean vacant = true;
     boolean revoking;
     boolean minting;
+
+    /** While an epoch is being minted, the process that is to own the shard under it. */
+    WriterId mintingFor;
+
     boolean queued;
 
     /**
@@ -314,6 +318,11 @@
       if (p.revoking) {
         continue;
       }
+      if (p.minting && !b.writer().equals(p.mintingFor)) {
+        // Its lease has lapsed and a successor is being written down: a lease granted now would
+        // still run when that is committed.
+        continue;
+      }
       if (pb != null) {
         takeFence(e.getKey(), p, pb);
         p.queued = pb.queued();
@@ -527,6 +536,7 @@
     }
     minting = true;
     p.minting = true;
+    p.mintingFor = writer;
     long next = Math.max(epochCounter, above) + 1;
     Revision term = loadedTerm;
     ports.state(
