--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -125,7 +125,7 @@
     members.add(ports.config.label());
     ports.config.members().forEach(m -> members.add(m.label()));
     return new RolloutCoordinator(
-        new RolloutPorts(ports),
+        new LeaderPorts(ports),
         election,
         setup.settings(),
         announcement,
@@ -692,7 +692,7 @@
       if (s == null) {
         s = new ShardOwner(ports, cancellations, gate, l.part(), l.epoch(), ports.now());
         s.catalog(catalog);
-        s.lentAll(lent.values());
+        s.custody().assignedAll(lent.values());
         s.load();
         shardOwners.put(l.part(), s);
       }
@@ -702,12 +702,12 @@
     ports.share((double) owned / ports.tuning.parts(), election.holding());
     for (ShardOwner s : shardOwners.values()) {
       if (a.whole()) {
-        s.lentAll(lent.values());
+        s.custody().assignedAll(lent.values());
       } else {
-        a.lent().forEach(s::lent);
-        a.off().forEach(s::notLent);
+        a.lent().forEach(s.custody()::assigned);
+        a.off().forEach(s.custody()::unassigned);
       }
-      s.gone(a.gone());
+      s.custody().gone(a.gone());
       s.autoscaler.blocked(a.blocked());
     }
     if (news && shardOwners.values().stream().anyMatch(s -> !s.autoscaler.wants().isEmpty())) {
--- a/src/main/java/shorecrank/coordination/Election.java
+++ b/src/main/java/shorecrank/coordination/Election.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import shorecrank.leadership.Leadership;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.Revision;
@@ -10,7 +11,6 @@
 import shorecrank.protocol.RolloutMessages.LevelRange;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.rollout.Feature;
-import shorecrank.rollout.Leadership;
 
 /**
  * Who leads: the process whose key hangs on a living grant. The key's stamp is the leader's term;
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/ForeignTasks.java
@@ -0,0 +1,137 @@
+package shorecrank.coordination;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.TaskRun;
+import shorecrank.protocol.StoreMessages;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.LiveRange;
+
+/**
+ * Tasks on a shard's machines that none of its jobs explains. Before such a task is stopped or its
+ * result discarded, the state service is asked whether the record of another shard names it there:
+ * that shard's owner has not taken its result yet.
+ */
+final class ForeignTasks {
+  private static final int CALL_MS = 2000;
+
+  /** What was found is asked for again after so long. */
+  private static final long FRESH_MS = 2000;
+
+  /** Answers older than this are dropped. */
+  private static final long KEPT_MS = 30_000;
+
+  private static final int MAX_KEPT = 10_000;
+
+  /** What may be done with a task. */
+  enum Verdict {
+    /** Not known yet. */
+    UNKNOWN,
+    /** Another shard's record names it. */
+    NAMED_ELSEWHERE,
+    /** No record of another shard names it. */
+    UNCLAIMED
+  }
+
+  private record Named(HostName machine, TaskRun run) {}
+
+  /** A job's record as it was read. */
+  private static final class Lookup {
+    MonotonicTime answeredAt = MonotonicTime.NEVER;
+    boolean busy;
+    boolean elsewhere;
+    boolean unreadable;
+    final Set<Named> named = new HashSet<>();
+  }
+
+  private final Ports ports;
+  private final PartId shard;
+  private final Map<JobId, Lookup> lookups = new HashMap<>();
+
+  ForeignTasks(Ports ports, PartId shard) {
+    this.ports = ports;
+    this.shard = shard;
+  }
+
+  /** What is known of a task now; asks for what is not. */
+  Verdict verdict(HostName machine, TaskRun run) {
+    Lookup lookup = lookups.get(run.job());
+    if (lookup == null) {
+      if (lookups.size() >= MAX_KEPT) {
+        return Verdict.UNKNOWN;
+      }
+      lookup = new Lookup();
+      lookups.put(run.job(), lookup);
+    }
+    MonotonicTime now = ports.now();
+    boolean fresh = now.since(lookup.answeredAt) < FRESH_MS;
+    if (!fresh) {
+      ask(run.job(), lookup);
+      return Verdict.UNKNOWN;
+    }
+    if (lookup.unreadable) {
+      return Verdict.UNKNOWN;
+    }
+    boolean named = lookup.elsewhere && nameIt(lookup, machine, run);
+    return named ? Verdict.NAMED_ELSEWHERE : Verdict.UNCLAIMED;
+  }
+
+  private static boolean nameIt(Lookup lookup, HostName machine, TaskRun run) {
+    return lookup.named.contains(new Named(machine, run));
+  }
+
+  /** Once a second: forgets what nobody asks for any more. */
+  void tidy() {
+    MonotonicTime now = ports.now();
+    lookups.values().removeIf(l -> !l.busy && now.since(l.answeredAt) > KEPT_MS);
+  }
+
+  private void ask(JobId job, Lookup lookup) {
+    if (lookup.busy || !ports.requests.has(1, ports.now())) {
+      return;
+    }
+    lookup.busy = true;
+    ports.count("foreign.lookups");
+    ports.state(
+        "GET",
+        StoreMessages.key(JobRecord.liveKey(job)),
+        null,
+        CALL_MS,
+        (status, body) -> {
+          lookup.busy = false;
+          if (status == 200 || status == 404) {
+            lookup.answeredAt = ports.now();
+            take(lookup, status == 200 ? StoreMessages.entry(body) : null);
+          }
+        });
+  }
+
+  private void take(Lookup lookup, StoreMessages.Entry entry) {
+    lookup.named.clear();
+    lookup.elsewhere = false;
+    lookup.unreadable = false;
+    if (entry == null) {
+      return;
+    }
+    JobRecord record = JobRecord.read(entry.value());
+    if (record == null) {
+      lookup.unreadable = true;
+      return;
+    }
+    lookup.elsewhere = !PartId.of(record.spec().team(), ports.tuning.parts()).equals(shard);
+    for (LiveRange range : record.live()) {
+      for (int i = range.first(); i < range.first() + range.count(); i++) {
+        if (!record.done().get(i)) {
+          TaskRun run = new TaskRun(record.spec().id(), i, range.attempt());
+          lookup.named.add(new Named(range.host(), run));
+        }
+      }
+    }
+  }
+}
--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -14,6 +14,7 @@
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.Ids.MoveId;
 import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Tenure;
 import shorecrank.protocol.Ids.Token;
@@ -29,7 +30,19 @@
   HostInfo info;
   private HostType type;
   boolean lent;
+
+  /** It is to be emptied and handed over: nothing new is placed on it. */
   boolean recall;
+
+  /** The order under which it is to be handed over, or has come. */
+  MoveId move = MoveId.NONE;
+
+  /** Assigned to another shard, whose owner may renew its worker's lease. */
+  boolean assignedElsewhere;
+
+  /** Under an epoch below this its worker may have been another shard's. */
+  Epoch term = Epoch.NONE;
+
   MonotonicTime lentSince = MonotonicTime.NEVER;
 
   Tenure tenure = new Tenure(0);
@@ -177,6 +190,11 @@
     direct.put(r, t);
   }
 
+  /** Whether a command that went straight to it may yet be carried out. */
+  boolean awaitsDirect() {
+    return directOut > 0 || !direct.isEmpty();
+  }
+
   /** Whether a command under way may yet start it. */
   boolean mayStart(TaskRun r) {
     return direct.containsKey(r);
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -31,7 +31,7 @@
 import shorecrank.rollout.RolloutCoordinator;
 
 /** The leading controller's work: epochs, shard leases, and which shard gets which machine. */
-final class Leader {
+final class Leader implements ShardTable {
   private static final String EPOCH = "epoch";
   static final String PART = "part/";
   private static final int CALL_MS = 1500;
@@ -86,6 +86,7 @@
   private final Map<PartId, Part> parts = new TreeMap<>();
   private final MachineDirectory machines;
   private final CloudProvisioner cloud;
+  private final MachineAssigner assigner;
   private Revision loadedTerm = Revision.ABSENT;
 
   /**
@@ -114,6 +115,7 @@
     this.election = election;
     this.rollout = rollout;
     this.machines = new MachineDirectory(ports, election, () -> loadedTerm);
+    this.assigner = new SpareMachineAssigner(ports, machines, this);
     this.cloud = new CloudProvisioner(ports, machines, () -> loadedTerm, this::assign, this::meet);
   }
 
@@ -143,6 +145,7 @@
       awaitOwners();
     }
     assignParts();
+    assigner.tick();
     machines.save();
     cloud.tick();
   }
@@ -257,6 +260,7 @@
       nodes.clear();
       minting = false;
       machines.began(term);
+      assigner.began();
       cloud.began();
       ports.info(
           "term %s: epochs up to %d, %d machines known", term, epochCounter, machines.size());
@@ -601,23 +605,7 @@
       return;
     }
     ports.info("machine %s: %s", h.name(), how);
-    assign(h, neediest());
-  }
-
-  private PartId neediest() {
-    PartId best = new PartId(0);
-    if (parts.size() == 1) {
-      return best;
-    }
-    long most = Long.MIN_VALUE;
-    for (Map.Entry<PartId, Part> e : parts.entrySet()) {
-      long need = (e.getValue().queued ? 1000 : 0) - machines.count(e.getKey());
-      if (need > most) {
-        most = need;
-        best = e.getKey();
-      }
-    }
-    return best;
+    assign(h, assigner.shardOfNewcomer());
   }
 
   private void assign(HostInfo info, PartId part) {
@@ -635,18 +623,7 @@
         cloud.giveBack(h);
       }
     }
-    for (HostName h : pb.handedBack()) {
-      Machine machine = machines.get(h);
-      if (machine != null && machine.recall && machine.part.equals(pb.part())) {
-        handOver(machine, pb.part());
-      }
-    }
-    if (!pb.spare().isEmpty() && anotherQueues(pb.part())) {
-      Machine machine = machines.get(pb.spare().get(0));
-      if (machine != null && machine.part.equals(pb.part()) && !machine.recall) {
-        machines.recall(machine, true);
-      }
-    }
+    assigner.reported(pb);
     // An owner that has not yet seen the last lending would ask for the same machines again.
     boolean allTold = parts.size() == 1 || machines.isWritten();
     if (knownVersion == machines.version() && allTold && cloud.isIdle()) {
@@ -654,28 +631,36 @@
     }
   }
 
-  private boolean anotherQueues(PartId but) {
-    return parts.entrySet().stream().anyMatch(e -> e.getValue().queued && !e.getKey().equals(but));
+  // ---- shards for others -----------------------------------------------------------------------
+
+  @Override
+  public Set<PartId> shards() {
+    return parts.keySet();
   }
 
-  /** Empty of the last part's tasks, and lent on only above its term. */
-  private void handOver(Machine machine, PartId from) {
-    PartId to = neediest();
-    if (to.equals(from)) {
-      machines.recall(machine, false);
-      return;
-    }
-    Part p = parts.get(to);
-    Part last = parts.get(from);
-    long term = Math.max(machine.term.value(), last == null ? 0 : last.epoch.value());
-    if (p.epoch.value() <= term) {
-      if (!p.vacant && !minting) {
-        mint(to, p, p.owner, p.writer, term);
-      }
-      return;
+  @Override
+  public Epoch epoch(PartId shard) {
+    Part p = parts.get(shard);
+    return p == null ? Epoch.NONE : p.epoch;
+  }
+
+  @Override
+  public boolean isOwned(PartId shard) {
+    Part p = parts.get(shard);
+    return p != null && !p.vacant && !p.revoking;
+  }
+
+  @Override
+  public boolean hasQueue(PartId shard) {
+    Part p = parts.get(shard);
+    return p != null && p.queued;
+  }
+
+  @Override
+  public void raiseAbove(PartId shard, Epoch least) {
+    Part p = parts.get(shard);
+    if (p != null && !p.vacant && !p.minting) {
+      mint(shard, p, p.owner, p.writer, least.value());
     }
-    // Until the new assignment is written down and told, the machine is nobody's.
-    machines.remove(machine.info.name());
-    assign(machine.info, to);
   }
 }
--- a/src/main/java/shorecrank/coordination/RolloutPorts.java
+++ b/src/main/java/shorecrank/coordination/LeaderPorts.java
@@ -1,16 +1,16 @@
 package shorecrank.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import shorecrank.leadership.LeaderEnvironment;
 import shorecrank.protocol.Ids.MonotonicTime;
-import shorecrank.rollout.RolloutEnvironment;
 
 /** What a rollout sees of the core: its time, its calls of the state service, its log. */
-final class RolloutPorts implements RolloutEnvironment {
+final class LeaderPorts implements LeaderEnvironment {
   private static final int CALL_MS = 2000;
 
   private final Ports ports;
 
-  RolloutPorts(Ports ports) {
+  LeaderPorts(Ports ports) {
     this.ports = ports;
   }
 
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/MachineCustody.java
@@ -0,0 +1,280 @@
+package shorecrank.coordination;
+
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.TaskRun;
+import shorecrank.protocol.PeerMessages.HandedBack;
+import shorecrank.protocol.PeerMessages.HostInfo;
+import shorecrank.protocol.PeerMessages.MachineAssignment;
+import shorecrank.protocol.WorkerMessages.Report;
+import shorecrank.protocol.WorkerMessages.TaskReport;
+
+/**
+ * The machines that a shard's owner knows of: which are assigned to the shard, which are to be
+ * handed over, and when nothing of the shard is left on one so that it may be.
+ */
+final class MachineCustody {
+  /** What the owner does with the tasks of a machine, and with an answer that it waits for. */
+  interface Tasks {
+    /** The attempt is surely off its machine, without a result. */
+    void lost(LiveTask task);
+
+    /** A report whose answer was held back gets none any more. */
+    void supersede(Host machine);
+  }
+
+  private final Ports ports;
+  private final PartId shard;
+  private final RecordReferences references;
+  private final ForeignTasks foreign;
+  private final Tasks tasks;
+  private final Map<HostName, Host> machines = new TreeMap<>();
+
+  /** Machines with free processors, so that a round in a full fleet looks at few. */
+  private final Set<Host> withRoom = new ObjectLinkedOpenHashSet<>();
+
+  private Map<String, HostType> catalog = Map.of();
+
+  /**
+   * @param references machines that records may name; null where there is only one shard
+   * @param foreign tasks of other shards; null where there is only one shard
+   */
+  MachineCustody(
+      Ports ports, PartId shard, RecordReferences references, ForeignTasks foreign, Tasks tasks) {
+    this.ports = ports;
+    this.shard = shard;
+    this.references = references;
+    this.foreign = foreign;
+    this.tasks = tasks;
+  }
+
+  Map<HostName, Host> machines() {
+    return machines;
+  }
+
+  Set<Host> withRoom() {
+    return withRoom;
+  }
+
+  /** The machine of that name, which is known from now on. */
+  Host machine(HostName name) {
+    return machines.computeIfAbsent(name, n -> new Host(n, withRoom));
+  }
+
+  void catalog(Map<String, HostType> types) {
+    catalog = types;
+    for (Host h : machines.values()) {
+      if (h.info != null) {
+        h.type(types.get(h.info.type()));
+      }
+    }
+  }
+
+  /** What kind of machine it is. */
+  void describe(Host h, HostInfo info) {
+    if (h.info == null) {
+      h.info = info;
+      h.type(catalog.get(info.type()));
+    }
+  }
+
+  // ---- assignment ------------------------------------------------------------------------------
+
+  /** All assignments, to whichever shard. */
+  void assignedAll(Collection<MachineAssignment> all) {
+    Set<HostName> named = new HashSet<>();
+    for (MachineAssignment a : all) {
+      assigned(a);
+      named.add(a.host().name());
+    }
+    for (HostName name : new ArrayList<>(machines.keySet())) {
+      if (!named.contains(name)) {
+        unassigned(name);
+      }
+    }
+  }
+
+  /** An assignment is new or has changed. */
+  void assigned(MachineAssignment a) {
+    HostName name = a.host().name();
+    if (!a.part().equals(shard)) {
+      unassigned(name);
+      Host kept = machines.get(name);
+      if (kept != null) {
+        kept.assignedElsewhere = true;
+      }
+      return;
+    }
+    Host h = machine(name);
+    describe(h, a.host());
+    h.assignedElsewhere = false;
+    if (!h.lent) {
+      h.lent = true;
+      h.lentSince = ports.now().plus(-a.ageMs());
+    }
+    if (a.term().above(h.term)) {
+      // It has been with another shard since: what its worker showed before proves nothing now.
+      h.term = a.term();
+      h.confirmed = false;
+      h.known = false;
+    }
+    h.recall = a.recall();
+    h.move = a.move();
+  }
+
+  /** The machine is not assigned to this shard. */
+  void unassigned(HostName name) {
+    Host h = machines.get(name);
+    if (h != null) {
+      h.lent = false;
+      h.known = false;
+      h.recall = false;
+      h.move = MoveId.NONE;
+      h.assignedElsewhere = false;
+      if (h.empty()) {
+        tasks.supersede(h);
+        drop(h);
+      }
+    }
+  }
+
+  /** Machines that are surely gone, with all that ran on them. */
+  void gone(Collection<HostName> names) {
+    for (HostName name : names) {
+      Host h = machines.get(name);
+      if (h != null) {
+        loseAll(h, "released");
+        tasks.supersede(h);
+        h.clearGhosts();
+        drop(h);
+      }
+    }
+  }
+
+  private void drop(Host h) {
+    machines.remove(h.name);
+    withRoom.remove(h);
+  }
+
+  // ---- tasks that are surely off ---------------------------------------------------------------
+
+  /** All of a machine's tasks are surely off it. */
+  void loseAll(Host h, String why) {
+    int n = h.live.size();
+    for (LiveTask t : new ArrayList<>(h.live)) {
+      tasks.lost(t);
+    }
+    if (n > 0) {
+      ports.info("machine %s: %s: %d tasks surely off it (part %s)", h.name, why, n, shard);
+      ports.count("machine.dead");
+    }
+  }
+
+  /** Tasks of sessions before the one that has begun. */
+  void loseOlder(Host h) {
+    for (LiveTask t : new ArrayList<>(h.live)) {
+      if (t.tenure.compareTo(h.tenure) < 0) {
+        tasks.lost(t);
+      }
+    }
+  }
+
+  /** Takes the tasks of machines whose worker's lease has surely run out. */
+  void expireLeases(WorkerLiveness liveness) {
+    for (Host h : machines.values()) {
+      // The owner of another shard may renew the lease of one that is assigned there.
+      if (!h.empty() && !h.assignedElsewhere && liveness.leaseOut(h)) {
+        loseAll(h, "its worker's lease ran out");
+        h.clearGhosts();
+        h.known = false;
+        if (h.deadTenure.compareTo(h.tenure) < 0) {
+          h.deadTenure = h.tenure;
+        }
+      }
+    }
+    if (foreign != null) {
+      foreign.tidy();
+    }
+  }
+
+  // ---- reports ---------------------------------------------------------------------------------
+
+  /** The epoch that a worker must have shown before its reports count. */
+  static Epoch required(Host h, Epoch ownersFirst) {
+    return h.term.above(ownersFirst) ? h.term : ownersFirst;
+  }
+
+  /**
+   * Whether a task that no job of this shard explains may be stopped, or its result discarded:
+   * never while the record of another shard names it, nor before that is known.
+   */
+  boolean mayClear(Host h, TaskRun run) {
+    return foreign == null || foreign.verdict(h.name, run) == ForeignTasks.Verdict.UNCLAIMED;
+  }
+
+  // ---- handing over ----------------------------------------------------------------------------
+
+  /** Machines that were to be handed over and have nothing of this shard left. */
+  List<HandedBack> handedBack(WorkerLiveness liveness) {
+    List<HandedBack> back = new ArrayList<>();
+    for (Host h : machines.values()) {
+      if (h.recall && isSettled(h, liveness)) {
+        back.add(new HandedBack(h.name, h.move));
+      }
+    }
+    return back;
+  }
+
+  /**
+   * Whether nothing of this shard is on the machine, can come to it, or is said of it by a record:
+   * the worker has shown our token and lists nothing of ours in its last report, no command is
+   * under way to it, and no record names it, not even by a write that is carried out late.
+   */
+  private boolean isSettled(Host h, WorkerLiveness liveness) {
+    return h.empty()
+        && h.confirmed
+        && liveness.fresh(h)
+        && !h.awaitsDirect()
+        && (references == null || !references.mayName(h.name))
+        && listsOnlyForeign(h);
+  }
+
+  private boolean listsOnlyForeign(Host h) {
+    Report report = h.report;
+    if (report == null) {
+      return false;
+    }
+    for (TaskReport t : report.tasks()) {
+      boolean elsewhere =
+          foreign != null
+              && foreign.verdict(h.name, t.run()) == ForeignTasks.Verdict.NAMED_ELSEWHERE;
+      if (!elsewhere) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Machines that records of this shard name although they are assigned to another. */
+  List<HostName> misplaced() {
+    List<HostName> names = new ArrayList<>();
+    for (Host h : machines.values()) {
+      if (h.assignedElsewhere && !h.empty()) {
+        names.add(h.name);
+      }
+    }
+    return names;
+  }
+}
--- a/src/main/java/shorecrank/coordination/MachineDirectory.java
+++ b/src/main/java/shorecrank/coordination/MachineDirectory.java
@@ -15,6 +15,7 @@
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.Ids.MoveId;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Json;
@@ -55,7 +56,16 @@
     PartId part;
     Epoch term;
     MonotonicTime since;
+
+    /** The order under which it is to be handed over, or has come to its shard. */
+    MoveId move = MoveId.NONE;
+
+    /** It is to be emptied for another shard. */
     boolean recall;
+
+    /** A shard whose records name it, although it is assigned to another; null if there is none. */
+    PartId reclaimedBy;
+
     MonotonicTime listedAt = MonotonicTime.NEVER;
 
     /** Whether the assignment stands in the state service. */
@@ -120,6 +130,11 @@
     return machines.values().stream().filter(m -> m.part.equals(part)).count();
   }
 
+  /** The term under which the assignments were read. */
+  Revision term() {
+    return loadedTerm.get();
+  }
+
   /** The number of the last change. */
   long version() {
     return version;
@@ -146,9 +161,17 @@
     ports.count("machine.lent");
   }
 
-  /** The owner is to let the machine run empty and hand it back, or may keep it after all. */
-  void recall(Machine machine, boolean recall) {
-    machine.recall = recall;
+  /** The owner is to let the machine run empty and hand it back, under an order's id. */
+  void recall(Machine machine, MoveId move) {
+    machine.recall = true;
+    machine.move = move;
+    machine.version = ++version;
+  }
+
+  /** The owner may use the machine; the order that concerned it is over. */
+  void keep(Machine machine) {
+    machine.recall = false;
+    machine.move = MoveId.NONE;
     machine.version = ++version;
   }
 
@@ -174,7 +197,8 @@
     for (Machine m : machines.values()) {
       if (mayTell(m, oneShard) && (whole || m.version > known)) {
         long ageMs = ports.now().since(m.since);
-        assigned.add(new MachineAssignment(m.info, m.part, ageMs, m.recall));
+        Epoch term = oneShard ? Epoch.NONE : m.term;
+        assigned.add(new MachineAssignment(m.info, m.part, ageMs, term, m.recall, m.move));
       }
     }
     if (!whole) {
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/RecordReferences.java
@@ -0,0 +1,149 @@
+package shorecrank.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.Revision;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.LiveRange;
+
+/**
+ * Which machines the job records of a shard may name in the state service, counting every write
+ * that has no answer and may yet be carried out.
+ *
+ * <p>A write is settled by its own answer, or once the record is known at a later revision than the
+ * one that guards it. Until an owner has written a record itself, a write of an earlier owner may
+ * still put any machine into it.
+ */
+final class RecordReferences {
+  /** A write without an answer so far. */
+  private record PendingWrite(long sequence, Revision guard, Set<HostName> machines) {}
+
+  /** A record as last known, and what may yet replace it. */
+  private static final class Reference {
+    Revision revision = Revision.ABSENT;
+    Set<HostName> stored = Set.of();
+    final List<PendingWrite> pending = new ArrayList<>();
+    boolean writableByOthers;
+  }
+
+  private final Map<JobId, Reference> references = new HashMap<>();
+  private final Object2IntOpenHashMap<HostName> counts = new Object2IntOpenHashMap<>();
+  private int writableByOthers;
+
+  /** The machines that a record's live ranges name. */
+  static Set<HostName> machinesOf(JobRecord record) {
+    Set<HostName> machines = new HashSet<>();
+    for (LiveRange range : record.live()) {
+      machines.add(range.host());
+    }
+    return machines;
+  }
+
+  /**
+   * A record was read.
+   *
+   * @param othersMayWrite whether a write of another process may still change it: this owner has
+   *     not written it yet, or has been refused by a higher epoch
+   */
+  void read(JobId job, Revision at, Set<HostName> machines, boolean othersMayWrite) {
+    Reference reference = references.computeIfAbsent(job, k -> new Reference());
+    if (at.after(reference.revision)) {
+      settle(reference, at, machines);
+    }
+    writableByOthers(reference, othersMayWrite);
+  }
+
+  /** A write was sent, guarded by the record's revision. */
+  void sent(JobId job, long sequence, Revision guard, Set<HostName> machines) {
+    Reference reference = references.computeIfAbsent(job, k -> new Reference());
+    reference.pending.add(new PendingWrite(sequence, guard, machines));
+    count(machines, 1);
+  }
+
+  /** A write was carried out: those before it were guarded by an earlier revision. */
+  void committed(JobId job, long sequence, Revision at) {
+    Reference reference = references.get(job);
+    if (reference == null) {
+      return;
+    }
+    for (PendingWrite write : List.copyOf(reference.pending)) {
+      if (write.sequence == sequence) {
+        settle(reference, at, write.machines);
+        writableByOthers(reference, false);
+      }
+    }
+  }
+
+  /** A write was refused, and never will be carried out. */
+  void refused(JobId job, long sequence) {
+    Reference reference = references.get(job);
+    if (reference != null) {
+      reference.pending.removeIf(
+          write -> {
+            boolean same = write.sequence == sequence;
+            if (same) {
+              count(write.machines, -1);
+            }
+            return same;
+          });
+    }
+  }
+
+  /** The record is known to be no more. */
+  void removed(JobId job) {
+    Reference reference = references.remove(job);
+    if (reference != null) {
+      settle(reference, reference.revision, Set.of());
+      writableByOthers(reference, false);
+    }
+  }
+
+  /** Everything is read anew. */
+  void clear() {
+    references.clear();
+    counts.clear();
+    writableByOthers = 0;
+  }
+
+  /** Whether any record may name the machine, now or once a late write is carried out. */
+  boolean mayName(HostName machine) {
+    return writableByOthers > 0 || counts.getInt(machine) > 0;
+  }
+
+  private void settle(Reference reference, Revision at, Set<HostName> machines) {
+    count(reference.stored, -1);
+    reference.stored = Set.copyOf(machines);
+    count(reference.stored, 1);
+    reference.revision = at;
+    reference.pending.removeIf(
+        write -> {
+          boolean over = !write.guard.equals(at);
+          if (over) {
+            count(write.machines, -1);
+          }
+          return over;
+        });
+  }
+
+  private void writableByOthers(Reference reference, boolean writable) {
+    if (reference.writableByOthers != writable) {
+      reference.writableByOthers = writable;
+      writableByOthers += writable ? 1 : -1;
+    }
+  }
+
+  private void count(Set<HostName> machines, int by) {
+    for (HostName machine : machines) {
+      if (counts.addTo(machine, by) + by == 0) {
+        counts.removeInt(machine);
+      }
+    }
+  }
+}
--- a/src/main/java/shorecrank/coordination/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -1,9 +1,9 @@
 package shorecrank.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,8 +27,8 @@
 import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
+import shorecrank.protocol.PeerMessages.HandedBack;
 import shorecrank.protocol.PeerMessages.HostInfo;
-import shorecrank.protocol.PeerMessages.MachineAssignment;
 import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.RolloutMessages;
 import shorecrank.protocol.StoreMessages;
@@ -83,6 +83,9 @@
   /** How often all machines and jobs are looked at; the rounds between look at what changed. */
   private static final int LOOK_MS = 1000;
 
+  /** A machine that has been empty for so long is one that the shard can spare. */
+  private static final int SPARE_MS = 5000;
+
   /** After a leader's grant has ended: until another leads, has read its keys and is heard. */
   private static final int ELECTION_MS = 4000;
 
@@ -116,10 +119,12 @@
 
   final Map<JobId, Job> jobs = new TreeMap<>();
   private final Set<JobId> latched = new HashSet<>();
-  final Map<HostName, Host> hosts = new TreeMap<>();
 
-  /** Machines with free processors, so that a round in a full fleet looks at few. */
-  private final Set<Host> withRoom = new ObjectLinkedOpenHashSet<>();
+  /** Which machines our records may name; null where there is only one shard. */
+  private final RecordReferences references;
+
+  private final MachineCustody custody;
+  final Map<HostName, Host> hosts;
 
   /** Jobs with something to write. */
   private final Set<Job> dirty = new ObjectLinkedOpenHashSet<>();
@@ -160,6 +165,11 @@
     this.part = part;
     this.epoch = epoch;
     this.firstEpoch = epoch;
+    boolean oneShard = ports.tuning.parts() == 1;
+    this.references = oneShard ? null : new RecordReferences();
+    ForeignTasks foreign = oneShard ? null : new ForeignTasks(ports, part);
+    this.custody = new MachineCustody(ports, part, references, foreign, new TasksOfMachines());
+    this.hosts = custody.machines();
     this.liveness = new WorkerLiveness(ports, hosts.values(), grantedAt);
     this.autoscaler = new Autoscaler(ports, this);
     this.dependencies = new Dependencies(ports, jobs, cancellations, this::cancelWithOthers);
@@ -179,11 +189,7 @@
 
   void catalog(Map<String, HostType> c) {
     catalog = c;
-    for (Host h : hosts.values()) {
-      if (h.info != null) {
-        h.type(c.get(h.info.type()));
-      }
-    }
+    custody.catalog(c);
   }
 
   /** The leader's lease: no other controller owns the part before it ends, by our own clock. */
@@ -332,7 +338,8 @@
       }
       if (ports.now().since(lookedAt) >= LOOK_MS) {
         lookedAt = ports.now();
-        verdicts();
+        ports.count("round.looks", hosts.size());
+        custody.expireLeases(liveness);
         UtilizationGauges.tell(ports, hosts.values(), jobs.values(), liveness);
         hearsFew = liveness.hearsFew();
         // Whatever became due without being touched.
@@ -362,6 +369,9 @@
       unpark(h);
       h.known = false;
     }
+    if (references != null) {
+      references.clear();
+    }
     stage = Stage.LOADING;
     loadBusy = false;
     loadRound++;
@@ -400,8 +410,11 @@
               ports.unreadable(e.key());
             } else if (PartId.of(r.spec().team(), ports.tuning.parts()).equals(part)) {
               Job j = add(r, e.revision());
-              if (limited(ports.config.teams().get(r.spec().team())) && !j.claimed) {
-                // A write that the last owner sent in time may still place tasks of it.
+              boolean countsNow =
+                  references != null || limited(ports.config.teams().get(r.spec().team()));
+              if (countsNow && !j.claimed) {
+                // A write that the last owner sent in time may still place tasks of it: they would
+                // count for its team's limit, and hold their machine in this shard.
                 j.claimFirst = true;
                 j.touch(Urgency.NOW, ports.now());
               }
@@ -434,6 +447,9 @@
     Job j = new Job(r, stamp, ports.nextLife(), dirty);
     jobs.put(j.id(), j);
     j.claimed = false;
+    if (references != null) {
+      references.read(j.id(), stamp, RecordReferences.machinesOf(r), stage == Stage.LOADING);
+    }
     if (r.epoch().value() > 0) {
       if (r.epoch().above(epoch) || (r.epoch().equals(epoch) && !r.writer().equals(ports.writer))) {
         latch(j, r);
@@ -454,7 +470,7 @@
 
   private void adoptLive(Job j, JobRecord r) {
     for (LiveRange l : r.live()) {
-      Host h = host(l.host());
+      Host h = custody.machine(l.host());
       for (int i = l.first(); i < l.first() + l.count(); i++) {
         if (!j.done.get(i) && !j.live.containsKey(i)) {
           attach(new LiveTask(j, i, h, l.tenure(), l.attempt(), 0, ports.now()));
@@ -463,10 +479,6 @@
     }
   }
 
-  private Host host(HostName name) {
-    return hosts.computeIfAbsent(name, n -> new Host(n, withRoom));
-  }
-
   private void attach(LiveTask t) {
     t.job.add(t);
     double[] u = teamUse.computeIfAbsent(t.job.spec.team(), k -> new double[2]);
@@ -657,8 +669,10 @@
    *
    * @param boundBytes what must fit into a value: where the form depends on the feature level, the
    *     size of the earlier form that it is put back into when the level falls
+   * @param machines those that it names, where that is kept track of
    */
-  private record EncodedRecord(ObjectNode value, int bytes, int boundBytes, Standing standing) {}
+  private record EncodedRecord(
+      ObjectNode value, int bytes, int boundBytes, Standing standing, Set<HostName> machines) {}
 
   private EncodedRecord encode(Job j, boolean dense) {
     JobRecord record = j.record(epoch, ports.writer);
@@ -671,7 +685,8 @@
     int bytes = Json.bytes(value).length;
     boolean bound = dense && record.isLarge();
     int boundBytes = bound ? Json.bytes(record.writeCompact()).length : bytes;
-    return new EncodedRecord(value, bytes, boundBytes, record.standing());
+    Set<HostName> machines = references == null ? Set.of() : RecordReferences.machinesOf(record);
+    return new EncodedRecord(value, bytes, boundBytes, record.standing(), machines);
   }
 
   private int put(StoreMessages.Txn txn, List<Write> batch, Job j, boolean dense) {
@@ -682,6 +697,7 @@
     boolean last = over(j);
     Standing standing;
     int bytes;
+    Set<HostName> machines = Set.of();
     if (last) {
       Phase phase = j.complete() && !j.aborted ? Phase.DONE : Phase.WITHDRAWN;
       ObjectNode f = JobRecord.writeFinal(phase, j.doneCount());
@@ -697,11 +713,15 @@
       }
       bytes = record.bytes();
       standing = record.standing();
+      machines = record.machines();
       // A record without a live range always takes one: else its job would never run.
       int rangesLeft = (int) ((max * 0.9 - record.boundBytes()) / RANGE_BYTES);
       j.rangesLeft = Math.max(j.live.isEmpty() ? 1 : 0, rangesLeft);
       txn.write(key, record.value());
     }
+    if (references != null) {
+      references.sent(j.id(), j.seq, j.stamp, machines);
+    }
     batch.add(new Write(j, j.seq, last, standing));
     j.dirty = Urgency.NONE;
     return bytes + 300;
@@ -737,6 +757,7 @@
           for (Write w : batch) {
             Job j = w.job;
             j.inFlight = false;
+            settleReferences(w, status, body);
             if (jobs.get(j.id()) != j) {
               continue;
             }
@@ -777,6 +798,22 @@
         });
   }
 
+  private void settleReferences(Write w, int status, JsonNode body) {
+    if (references == null) {
+      return;
+    }
+    JobId id = w.job.id();
+    if (status != 200) {
+      if (StoreMessages.notCarriedOut(status)) {
+        references.refused(id, w.seq);
+      }
+    } else if (w.last) {
+      references.removed(id);
+    } else {
+      references.committed(id, w.seq, new Revision(StoreMessages.revision(body)));
+    }
+  }
+
   /**
    * A start need not wait for its machine's next report. What goes straight to a worker may be held
    * back or come twice, so it is under a token of its own: the next answer carries a higher one,
@@ -916,6 +953,9 @@
               status == 200 ? JobRecord.Final.read(StoreMessages.entry(body).value()) : null;
           if (end != null) {
             forget(j);
+            if (references != null) {
+              references.removed(j.id());
+            }
             dependencies.ended(j.id(), end.phase());
             ports.info("job %s: over, as its final record has it", j.id());
           } else if (status == 404) {
@@ -937,6 +977,10 @@
       latch(j, r);
       return;
     }
+    if (references != null) {
+      boolean othersMayWrite = !ours && (r.epoch().value() > 0 || j.claimFirst);
+      references.read(j.id(), stamp, RecordReferences.machinesOf(r), othersMayWrite);
+    }
     if (ours) {
       // One of our own writes, by its number; memory already holds all of it. Somebody may have
       // asked to cancel on top of it.
@@ -988,6 +1032,11 @@
   private void latch(Job j, JobRecord r) {
     forget(j);
     latched.add(j.id());
+    if (references != null && r == null) {
+      references.removed(j.id());
+    } else if (references != null) {
+      references.read(j.id(), Revision.ABSENT, Set.of(), true);
+    }
     if (r == null) {
       ports.info("job %s: part %s epoch %s: no record any more, given up", j.id(), part, epoch);
     } else {
@@ -1003,77 +1052,21 @@
 
   // ---- machines ------------------------------------------------------------------------------
 
-  /** All machines that are lent, to whichever part. */
-  void lentAll(Collection<MachineAssignment> all) {
-    Set<HostName> named = new HashSet<>();
-    for (MachineAssignment l : all) {
-      lent(l);
-      named.add(l.host().name());
-    }
-    for (HostName n : new ArrayList<>(hosts.keySet())) {
-      if (!named.contains(n)) {
-        notLent(n);
-      }
-    }
-  }
-
-  void lent(MachineAssignment l) {
-    if (!l.part().equals(part)) {
-      notLent(l.host().name());
-      return;
-    }
-    Host h = host(l.host().name());
-    if (h.info == null) {
-      h.info = l.host();
-      h.type(catalog.get(l.host().type()));
-    }
-    if (!h.lent) {
-      h.lent = true;
-      h.lentSince = ports.now().plus(-l.ageMs());
-    }
-    h.recall = l.recall();
-  }
-
-  void notLent(HostName name) {
-    Host h = hosts.get(name);
-    if (h != null) {
-      h.lent = false;
-      h.known = false;
-      if (h.empty()) {
-        unpark(h);
-        drop(h);
-      }
+  /** What becomes of the tasks of a machine that goes. */
+  private final class TasksOfMachines implements MachineCustody.Tasks {
+    @Override
+    public void lost(LiveTask task) {
+      lose(task);
     }
-  }
 
-  void gone(Collection<HostName> names) {
-    for (HostName n : names) {
-      Host h = hosts.get(n);
-      if (h != null) {
-        loseAll(h, "released");
-        unpark(h);
-        h.clearGhosts();
-        drop(h);
-      }
+    @Override
+    public void supersede(Host machine) {
+      unpark(machine);
     }
   }
 
-  private void drop(Host h) {
-    hosts.remove(h.name);
-    withRoom.remove(h);
-  }
-
-  private void loseAll(Host h, String why) {
-    int n = h.live.size();
-    for (LiveTask t : new ArrayList<>(h.live)) {
-      lose(t);
-    }
-    if (n > 0) {
-      ports.info(
-          "machine %s: %s: %d tasks surely off it (part %s, epoch %s)",
-          h.name, why, n, part, epoch);
-      ports.count("machine.dead");
-    }
+  MachineCustody custody() {
+    return custody;
   }
 
   /** The attempt is surely off its machine, without a result. */
@@ -1083,28 +1076,11 @@
     j.touch(Urgency.LATER, ports.now());
   }
 
-  private void verdicts() {
-    ports.count("round.looks", hosts.size());
-    for (Host h : hosts.values()) {
-      if (!h.empty() && liveness.leaseOut(h)) {
-        loseAll(h, "its worker's lease ran out");
-        h.clearGhosts();
-        h.known = false;
-        if (h.deadTenure.compareTo(h.tenure) < 0) {
-          h.deadTenure = h.tenure;
-        }
-      }
-    }
-  }
-
   /** Takes a worker's report in and answers it, now or after the next commit. */
   void report(long reply, Report r, boolean commands) {
     MonotonicTime now = ports.now();
-    Host h = host(r.host());
-    if (h.info == null) {
-      h.info = new HostInfo(r.host(), r.type(), r.zone(), r.spot());
-      h.type(catalog.get(r.type()));
-    }
+    Host h = custody.machine(r.host());
+    custody.describe(h, new HostInfo(r.host(), r.type(), r.zone(), r.spot()));
     int cmp = r.tenure().compareTo(h.tenure);
     boolean late = cmp < 0 || (cmp == 0 && r.serial() <= h.serial);
     // Of a session whose tasks were given up as surely gone, a report can only be late.
@@ -1114,7 +1090,7 @@
       return;
     }
     h.address = r.address();
-    if (r.token().epoch().compareTo(firstEpoch) < 0) {
+    if (r.token().epoch().compareTo(MachineCustody.required(h, firstEpoch)) < 0) {
       // The worker has not seen our epoch, or this is a copy of a report from before it did, which
       // may come a lease late. It gets the token; its next report shows it, and only that counts.
       ports.count("report.unconfirmed");
@@ -1122,7 +1098,7 @@
       h.serial = r.serial();
       h.answered = true;
       // Copy or not: a session of this number has begun, so those before it have ended.
-      loseOlder(h);
+      custody.loseOlder(h);
       ports.reply(reply, 200, WorkerMessages.answer(h.tokenAbove(epoch), cancelledOn(h, r)));
       return;
     }
@@ -1213,14 +1189,6 @@
     return false;
   }
 
-  private void loseOlder(Host h) {
-    for (LiveTask l : new ArrayList<>(h.live)) {
-      if (l.tenure.compareTo(h.tenure) < 0) {
-        lose(l);
-      }
-    }
-  }
-
   /**
    * Whether the machine gets our answers, as far as its reports show. A worker that gets a 200
    * stays here and takes the next number for its next report; one that does not asks other
@@ -1368,6 +1336,11 @@
       if (l != null && l.host == h && l.attempt.equals(t.run().attempt())) {
         listed.add(l);
         stop(h, l, t, orders);
+      } else if (j == null
+          && (t.state() == TaskState.EXITED || !cancelled(id))
+          && !custody.mayClear(h, t.run())) {
+        // Its own shard's owner may not have taken its result yet.
+        ports.count("foreign.kept");
       } else if (t.state() != TaskState.EXITED) {
         orders.add(new Stop(t.run(), 0));
         ports.info("machine %s: unexpected %s stopped", h.name, t.run());
@@ -1561,8 +1534,8 @@
     }
     List<Host> room = new ArrayList<>();
     List<Host> reserve = new ArrayList<>();
-    ports.count("round.looks", withRoom.size());
-    for (Host h : withRoom) {
+    ports.count("round.looks", custody.withRoom().size());
+    for (Host h : custody.withRoom()) {
       if (sound(h)) {
         (h.draining ? reserve : room).add(h);
       }
@@ -1919,21 +1892,32 @@
   ShardReport beat() {
     List<HostName> retire = new ArrayList<>();
     List<HostName> spare = new ArrayList<>();
-    List<HostName> back = new ArrayList<>();
+    List<HandedBack> back = List.of();
     if (ready() && valid()) {
       autoscaler.review(retire);
+      back = custody.handedBack(liveness);
       for (Host h : hosts.values()) {
-        if (h.recall && h.empty() && h.listedTasks == 0 && liveness.fresh(h)) {
-          back.add(h.name);
-        } else if ((usable(h) || h.draining)
+        if (!h.recall
+            && (usable(h) || h.draining)
             && h.empty()
-            && ports.now().since(h.idleSince) > 5000) {
+            && ports.now().since(h.idleSince) > SPARE_MS) {
           spare.add(h.name);
         }
       }
     }
     boolean queued = !ready() || jobs.values().stream().anyMatch(j -> j.queued() > 0);
     return new ShardReport(
-        part, epoch, fenced, queued, liveness.hearing(), autoscaler.wants(), retire, spare, back);
+        part,
+        epoch,
+        fenced,
+        queued,
+        liveness.hearing(),
+        autoscaler.wants(),
+        retire,
+        spare,
+        back,
+        custody.misplaced(),
+        references != null,
+        null);
   }
 }
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/SpareMachineAssigner.java
@@ -0,0 +1,137 @@
+package shorecrank.coordination;
+
+import shorecrank.coordination.MachineDirectory.Machine;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Revision;
+import shorecrank.protocol.PeerMessages.HandedBack;
+import shorecrank.protocol.PeerMessages.ShardReport;
+
+/**
+ * Gives machines that a shard leaves empty to a shard in which tasks wait. Orders are kept in
+ * memory only: a new leader begins anew, and answers to an earlier leader's orders count for
+ * nothing.
+ */
+final class SpareMachineAssigner implements MachineAssigner {
+  /** So many orders of one term have ids of their own. */
+  private static final int ORDER_BITS = 20;
+
+  private final Ports ports;
+  private final MachineDirectory machines;
+  private final ShardTable shards;
+  private Revision term = Revision.ABSENT;
+  private long orders;
+
+  SpareMachineAssigner(Ports ports, MachineDirectory machines, ShardTable shards) {
+    this.ports = ports;
+    this.machines = machines;
+    this.shards = shards;
+  }
+
+  @Override
+  public void began() {
+    if (!machines.term().equals(term)) {
+      term = machines.term();
+      orders = 0;
+    }
+  }
+
+  @Override
+  public void tick() {}
+
+  @Override
+  public PartId shardOfNewcomer() {
+    return neediest();
+  }
+
+  private PartId neediest() {
+    PartId best = new PartId(0);
+    if (shards.shards().size() == 1) {
+      return best;
+    }
+    long most = Long.MIN_VALUE;
+    for (PartId shard : shards.shards()) {
+      long need = (shards.hasQueue(shard) ? 1000 : 0) - machines.count(shard);
+      if (need > most) {
+        most = need;
+        best = shard;
+      }
+    }
+    return best;
+  }
+
+  @Override
+  public void reported(ShardReport report) {
+    if (!report.repeatsMoves()) {
+      // An earlier version may hand a machine back too early, and under an order that is over.
+      keepAll(report.part());
+      return;
+    }
+    for (HandedBack back : report.handedBack()) {
+      Machine machine = machines.get(back.machine());
+      boolean asOrdered = machine != null && machine.recall && machine.move.equals(back.move());
+      if (asOrdered && machine.part.equals(report.part())) {
+        handOver(machine, report.part());
+      }
+    }
+    for (HostName name : report.misplaced()) {
+      reclaim(name, report.part());
+    }
+    if (!report.spare().isEmpty() && anotherQueues(report.part())) {
+      Machine machine = machines.get(report.spare().get(0));
+      if (machine != null && machine.part.equals(report.part()) && !machine.recall) {
+        machines.recall(machine, nextOrder());
+      }
+    }
+  }
+
+  private void keepAll(PartId shard) {
+    for (Machine machine : machines.all()) {
+      if (machine.recall && machine.part.equals(shard)) {
+        machines.keep(machine);
+      }
+    }
+  }
+
+  /** A machine on which tasks of a shard may run goes back to that shard. */
+  private void reclaim(HostName name, PartId shard) {
+    Machine machine = machines.get(name);
+    boolean known = machine != null && machine.recall && shard.equals(machine.reclaimedBy);
+    if (machine == null || machine.part.equals(shard) || known) {
+      return;
+    }
+    ports.info("machine %s: claimed by part %s, assigned to %s", name, shard, machine.part);
+    ports.count("machine.reclaimed");
+    machine.reclaimedBy = shard;
+    if (!machine.recall) {
+      machines.recall(machine, nextOrder());
+    }
+  }
+
+  private MoveId nextOrder() {
+    return new MoveId((term.value() << ORDER_BITS) + ++orders);
+  }
+
+  private boolean anotherQueues(PartId but) {
+    return shards.shards().stream().anyMatch(s -> !s.equals(but) && shards.hasQueue(s));
+  }
+
+  /** Empty of the last shard's tasks, and assigned anew only above its term. */
+  private void handOver(Machine machine, PartId from) {
+    PartId to = machine.reclaimedBy != null ? machine.reclaimedBy : neediest();
+    if (to.equals(from)) {
+      machines.keep(machine);
+      return;
+    }
+    Epoch last = machine.term.above(shards.epoch(from)) ? machine.term : shards.epoch(from);
+    if (!shards.epoch(to).above(last)) {
+      shards.raiseAbove(to, last);
+      return;
+    }
+    // Until the new assignment is written down and told, the machine is nobody's.
+    machines.remove(machine.info.name());
+    machines.assign(machine.info, to, shards.epoch(to));
+  }
+}
--- a/src/main/java/shorecrank/rollout/RolloutEnvironment.java
+++ b/src/main/java/shorecrank/leadership/LeaderEnvironment.java
@@ -1,10 +1,10 @@
-package shorecrank.rollout;
+package shorecrank.leadership;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import shorecrank.protocol.Ids.MonotonicTime;
 
-/** Time, the state service and the log, as a state machine of this package sees them. */
-public interface RolloutEnvironment {
+/** Time, the state service and the log, as a state machine of the leader sees them. */
+public interface LeaderEnvironment {
   /** Takes an answer; status 0 means there was none, and the call may still be carried out. */
   @FunctionalInterface
   interface OnAnswer {
--- a/src/main/java/shorecrank/rollout/Leadership.java
+++ b/src/main/java/shorecrank/leadership/Leadership.java
@@ -1,10 +1,12 @@
-package shorecrank.rollout;
+package shorecrank.leadership;
 
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.RolloutMessages.FeatureLevel;
 import shorecrank.protocol.StoreMessages.Txn;
 
-/** What a rollout needs of the election: the leader's term, and the keys that show it. */
+/**
+ * What a state machine of the leader needs of the election: its term, and the keys that show it.
+ */
 public interface Leadership {
   /** Whether no other process can lead now, by our own clock. */
   boolean leading();
--- a/src/main/java/shorecrank/protocol/Ids.java
+++ b/src/main/java/shorecrank/protocol/Ids.java
@@ -143,6 +143,30 @@
     }
   }
 
+  /**
+   * Names one order to hand a machine over to another shard. No two orders of a fleet have the same
+   * id, so that an answer to an earlier one is never taken for an answer to this one.
+   */
+  public record MoveId(long value) implements Comparable<MoveId> {
+    /** No order. */
+    public static final MoveId NONE = new MoveId(0);
+
+    /** Whether it names an order. */
+    public boolean isSet() {
+      return value > 0;
+    }
+
+    @Override
+    public int compareTo(MoveId o) {
+      return Long.compare(value, o.value);
+    }
+
+    @Override
+    public String toString() {
+      return Long.toString(value);
+    }
+  }
+
   /** A worker's session. */
   public record Tenure(long value) implements Comparable<Tenure> {
     @Override
--- a/src/main/java/shorecrank/protocol/PeerMessages.java
+++ b/src/main/java/shorecrank/protocol/PeerMessages.java
@@ -12,12 +12,14 @@
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.MoveId;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.RolloutMessages.Announcement;
 import shorecrank.protocol.RolloutMessages.Notice;
+import shorecrank.protocol.ShareMessages.ShardDemand;
 import shorecrank.protocol.UserMessages.Phase;
 import shorecrank.protocol.UserMessages.Standing;
 
@@ -35,6 +37,11 @@
   /** Asks which cancellations the other has confirmed to users. */
   public static final String CONFIRMED = "/peer/confirmed";
 
+  private static final String TERM = "term";
+  private static final String MOVE = "move";
+  private static final String MOVES = "moves";
+  private static final String MISPLACED = "misplaced";
+  private static final String DEMAND = "demand";
   private static final int MAX_PARTS = 1_000_000;
   private static final int MAX_COUNT = Integer.MAX_VALUE;
   private static final long MAX_LEASE_MS = 86_400_000;
@@ -53,7 +60,20 @@
   /** Of the machines that an owner should hear, how many it does not, and where they are most. */
   public record WorkerReachability(int expected, int unheard, List<String> deafTo) {}
 
-  /** What an owner says of one part. {@code fenced} is an epoch that refused it, or NONE. */
+  /**
+   * A machine that its owner has emptied on an order.
+   *
+   * @param move the order; {@link MoveId#NONE} from versions that don't repeat it
+   */
+  public record HandedBack(HostName machine, MoveId move) {}
+
+  /**
+   * What an owner says of one part. {@code fenced} is an epoch that refused it, or NONE.
+   *
+   * @param misplaced machines that records of this shard name although they are assigned to another
+   * @param repeatsMoves whether the owner repeats the order's id when it hands a machine back
+   * @param demand what the shard needs and could give up; null where shares are not enabled
+   */
   public record ShardReport(
       PartId part,
       Epoch epoch,
@@ -63,7 +83,10 @@
       List<CapacityRequest> wants,
       List<HostName> retire,
       List<HostName> spare,
-      List<HostName> handedBack) {
+      List<HandedBack> handedBack,
+      List<HostName> misplaced,
+      boolean repeatsMoves,
+      ShardDemand demand) {
     /** Of an owner that can't take the part under its present epoch. */
     public static ShardReport refused(PartId part, Epoch epoch) {
       return new ShardReport(
@@ -75,7 +98,10 @@
           List.of(),
           List.of(),
           List.of(),
-          List.of());
+          List.of(),
+          List.of(),
+          false,
+          null);
     }
   }
 
@@ -98,7 +124,15 @@
 
   public record OwnerInfo(PartId part, NodeLabel label, Epoch epoch) {}
 
-  public record MachineAssignment(HostInfo host, PartId part, long ageMs, boolean recall) {}
+  /**
+   * A machine's shard.
+   *
+   * @param term the lowest epoch under which its worker's reports count; NONE where there is only
+   *     one shard
+   * @param move the order under which it is to be handed over ({@code recall}) or has just come
+   */
+  public record MachineAssignment(
+      HostInfo host, PartId part, long ageMs, Epoch term, boolean recall, MoveId move) {}
 
   public record Blocked(Offer offer, long forMs) {}
 
@@ -138,7 +172,7 @@
       }
       names(o.putArray("retire"), p.retire);
       names(o.putArray("spare"), p.spare);
-      names(o.putArray("back"), p.handedBack);
+      writeMoves(o, p);
     }
     ArrayNode seen = n.putArray("seen");
     b.seen.forEach(h -> host(seen.addObject(), h));
@@ -150,6 +184,38 @@
     return n;
   }
 
+  /**
+   * The fields about moves; those that not every version knows stand only where they say something.
+   */
+  private static void writeMoves(ObjectNode o, ShardReport p) {
+    ArrayNode back = o.putArray("back");
+    p.handedBack.forEach(h -> back.add(h.machine.value()));
+    if (p.repeatsMoves) {
+      ArrayNode moves = o.putArray(MOVES);
+      p.handedBack.forEach(h -> moves.add(h.move.value()));
+    }
+    if (!p.misplaced.isEmpty()) {
+      names(o.putArray(MISPLACED), p.misplaced);
+    }
+    if (p.demand != null) {
+      o.set(DEMAND, ShareMessages.write(p.demand));
+    }
+  }
+
+  private static List<HandedBack> handedBack(JsonNode p) {
+    List<HostName> machines = names(p.path("back"));
+    JsonNode moves = p.path(MOVES);
+    if (moves.isArray() && moves.size() != machines.size()) {
+      throw new Malformed(MOVES);
+    }
+    List<HandedBack> all = new ArrayList<>();
+    for (int i = 0; i < machines.size(); i++) {
+      long move = moves.isArray() ? Json.count(moves.path(i)) : 0;
+      all.add(new HandedBack(machines.get(i), new MoveId(Math.max(0, move))));
+    }
+    return all;
+  }
+
   /** A message holds something that no version sends. */
   private static final class Malformed extends RuntimeException {
     private static final long serialVersionUID = 1L;
@@ -196,7 +262,10 @@
               wants,
               names(p.path("retire")),
               names(p.path("spare")),
-              names(p.path("back"))));
+              handedBack(p),
+              names(p.path(MISPLACED)),
+              p.path(MOVES).isArray(),
+              ShareMessages.readDemand(p.path(DEMAND))));
     }
     List<HostInfo> seen = new ArrayList<>();
     n.path("seen").forEach(h -> seen.add(host(h)));
@@ -228,10 +297,14 @@
     n.put("whole", a.whole);
     ArrayNode hs = n.putArray("lent");
     for (MachineAssignment l : a.lent) {
-      host(hs.addObject(), l.host)
-          .put("part", l.part.value())
-          .put("age", l.ageMs)
-          .put("recall", l.recall);
+      ObjectNode o = host(hs.addObject(), l.host);
+      o.put("part", l.part.value()).put("age", l.ageMs).put("recall", l.recall);
+      if (l.term.value() > 0) {
+        o.put(TERM, l.term.value());
+      }
+      if (l.move.isSet()) {
+        o.put(MOVE, l.move.value());
+      }
     }
     names(n.putArray("off"), a.off);
     names(n.putArray("gone"), a.gone);
@@ -264,7 +337,12 @@
     for (JsonNode h : n.path("lent")) {
       lent.add(
           new MachineAssignment(
-              host(h), part(h), h.path("age").asLong(), h.path("recall").asBoolean()));
+              host(h),
+              part(h),
+              h.path("age").asLong(),
+              new Epoch(Math.max(0, Json.count(h.path(TERM)))),
+              h.path("recall").asBoolean(),
+              new MoveId(Math.max(0, Json.count(h.path(MOVE))))));
     }
     List<Blocked> blocked = new ArrayList<>();
     n.path("blocked").forEach(b -> blocked.add(new Blocked(offer(b), b.path("ms").asLong())));
--- a/src/main/java/shorecrank/rollout/ArchiveCleaner.java
+++ b/src/main/java/shorecrank/rollout/ArchiveCleaner.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import shorecrank.leadership.LeaderEnvironment;
+import shorecrank.leadership.Leadership;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.StoreMessages.Txn;
@@ -15,7 +17,7 @@
   private static final int MAX_ARCHIVES = 500;
   private static final long RETRY_MS = 1000;
 
-  private final RolloutEnvironment environment;
+  private final LeaderEnvironment environment;
   private final Leadership leadership;
   private final int kept;
   private final ArrayDeque<String> toDrop = new ArrayDeque<>();
@@ -23,7 +25,7 @@
   private boolean busy;
   private MonotonicTime retryAt = MonotonicTime.NEVER;
 
-  ArchiveCleaner(RolloutEnvironment environment, Leadership leadership, int kept) {
+  ArchiveCleaner(LeaderEnvironment environment, Leadership leadership, int kept) {
     this.environment = environment;
     this.leadership = leadership;
     this.kept = kept;
--- a/src/main/java/shorecrank/rollout/ArchiveTask.java
+++ b/src/main/java/shorecrank/rollout/ArchiveTask.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
+import shorecrank.leadership.LeaderEnvironment;
+import shorecrank.leadership.Leadership;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.RolloutMessages.FeatureLevel;
@@ -36,7 +38,7 @@
     FAILED
   }
 
-  private final RolloutEnvironment environment;
+  private final LeaderEnvironment environment;
   private final Leadership leadership;
   private final String id;
   private final String build;
@@ -60,7 +62,7 @@
   private long bytes;
 
   ArchiveTask(
-      RolloutEnvironment environment,
+      LeaderEnvironment environment,
       Leadership leadership,
       String id,
       String build,
@@ -114,7 +116,7 @@
     return ArchiveKeys.chunkBytes(environment.valueBytes());
   }
 
-  private void call(String method, String path, JsonNode body, RolloutEnvironment.OnAnswer then) {
+  private void call(String method, String path, JsonNode body, LeaderEnvironment.OnAnswer then) {
     busy = true;
     environment.state(
         method,
--- a/src/main/java/shorecrank/rollout/LevelStore.java
+++ b/src/main/java/shorecrank/rollout/LevelStore.java
@@ -1,5 +1,7 @@
 package shorecrank.rollout;
 
+import shorecrank.leadership.LeaderEnvironment;
+import shorecrank.leadership.Leadership;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.RolloutMessages;
@@ -32,7 +34,7 @@
     UNKNOWN
   }
 
-  private final RolloutEnvironment environment;
+  private final LeaderEnvironment environment;
   private final Leadership leadership;
   private final FeatureLevel highest;
   private Revision loadedTerm = Revision.ABSENT;
@@ -50,7 +52,7 @@
   /**
    * @param highest the highest level that this build knows
    */
-  LevelStore(RolloutEnvironment environment, Leadership leadership, FeatureLevel highest) {
+  LevelStore(LeaderEnvironment environment, Leadership leadership, FeatureLevel highest) {
     this.highest = highest;
     this.environment = environment;
     this.leadership = leadership;
--- a/src/main/java/shorecrank/rollout/RecordRewriter.java
+++ b/src/main/java/shorecrank/rollout/RecordRewriter.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import shorecrank.leadership.LeaderEnvironment;
+import shorecrank.leadership.Leadership;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.RolloutMessages.FeatureLevel;
@@ -44,7 +46,7 @@
     }
   }
 
-  private final RolloutEnvironment environment;
+  private final LeaderEnvironment environment;
   private final Leadership leadership;
   private final List<Feature> features;
   private final List<String> prefixes;
@@ -67,7 +69,7 @@
    * @param cursor the last key that an earlier pass to the same level has left behind, or empty
    */
   RecordRewriter(
-      RolloutEnvironment environment,
+      LeaderEnvironment environment,
       Leadership leadership,
       FeatureLevel target,
       String cursor,
--- a/src/main/java/shorecrank/rollout/RolloutCoordinator.java
+++ b/src/main/java/shorecrank/rollout/RolloutCoordinator.java
@@ -5,6 +5,8 @@
 import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
+import shorecrank.leadership.LeaderEnvironment;
+import shorecrank.leadership.Leadership;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Ids.Revision;
@@ -49,7 +51,7 @@
     void outcome(OrderOutcome outcome);
   }
 
-  private final RolloutEnvironment environment;
+  private final LeaderEnvironment environment;
   private final Leadership leadership;
   private final RolloutSettings settings;
   private final Announcement own;
@@ -71,7 +73,7 @@
    * @param heartbeatMs how often they are heard
    */
   public RolloutCoordinator(
-      RolloutEnvironment environment,
+      LeaderEnvironment environment,
       Leadership leadership,
       RolloutSettings settings,
       Announcement own,
