--- a/src/main/java/shorecrank/client/ClientCommand.java
+++ b/src/main/java/shorecrank/client/ClientCommand.java
@@ -12,7 +12,7 @@
     mixinStandardHelpOptions = true,
     scope = ScopeType.INHERIT,
     description = "Steers and watches controllers. Without a command: runs one, see --help.",
-    subcommands = {RolloutCommand.class, ArchiveCommand.class})
+    subcommands = {RolloutCommand.class, ArchiveCommand.class, SharesCommand.class})
 public final class ClientCommand implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/shorecrank/config/TuningFile.java
+++ b/src/main/java/shorecrank/config/TuningFile.java
@@ -1,6 +1,6 @@
 package shorecrank.config;
 
-import com.google.protobuf.DynamicMessage;
+import com.google.protobuf.Message;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -44,7 +44,7 @@
 
   /** Reads a file's text; what is not set has its default. */
   public static Tuning read(String text) throws NodeConfig.Invalid {
-    DynamicMessage message =
+    Message message =
         TextProto.parse("Settings", Stream.of(Setting.values()).map(s -> s.field).toList(), text);
     Map<Setting, Double> values = new EnumMap<>(Setting.class);
     for (Setting s : Setting.values()) {
--- a/src/main/java/shorecrank/coordination/Autoscaler.java
+++ b/src/main/java/shorecrank/coordination/Autoscaler.java
@@ -36,7 +36,7 @@
   private static final double MOVE_GAIN = 2;
 
   /** A start that is stopped sooner does not count as one (PROTOCOL: 30 s). */
-  private static final double SETTLED_S = 32;
+  static final double SETTLED_S = 32;
 
   private final Ports ports;
   private final ShardOwner owner;
@@ -111,9 +111,10 @@
       if (!h.reported()) {
         double boot = h.type() == null ? 60 : h.type().bootS();
         boolean holds = !h.empty();
+        long here = now.since(h.lentSince);
         if (holds
             ? quiet > (wait ? patience : Math.max(15_000, early))
-            : now.since(h.lentSince) > 1000 * (5 * boot + 120)) {
+            : here > (h.hasRun ? patience : 1000 * (5 * boot + 120))) {
           if (holds || h.lent) {
             retire.add(h.name);
           }
@@ -131,6 +132,7 @@
         h.retiring = true;
         retire.add(h.name);
       } else if (h.draining
+          && !h.recall
           && h.empty()
           && h.listedTasks == 0
           && owner.liveness.fresh(h)
@@ -161,7 +163,7 @@
       }
       // What runs on a silent machine, or on one that goes, needs room elsewhere before long.
       used += h.usedShare() * h.type().cpus();
-      if (!h.reported() || !owner.liveness.fresh(h) || h.retiring || h.noticed) {
+      if (!h.reported() || !owner.liveness.fresh(h) || h.retiring || h.noticed || h.recall) {
         continue;
       }
       if (h.draining) {
@@ -342,8 +344,7 @@
         continue;
       }
       if (!h.reported()) {
-        // One that takes far longer than usual may never come up.
-        if (now.since(h.lentSince) < LONG_BOOT * 1000 * h.type().bootS()) {
+        if (mayComeUp(h)) {
           free += roomFor(waiting, h);
         }
       } else if (owner.usable(h)) {
@@ -412,6 +413,15 @@
     return wants;
   }
 
+  /**
+   * One that takes far longer than usual to boot may never come up, or was gone when it was met.
+   */
+  private boolean mayComeUp(Host h) {
+    return !h.hasRun
+        && h.type() != null
+        && ports.now().since(h.lentSince) < LONG_BOOT * 1000 * h.type().bootS();
+  }
+
   private double perCpu(Offer o) {
     HostType t = owner.catalog().get(o.type());
     return t.price(o.spot()) / t.cpus();
@@ -419,7 +429,12 @@
 
   private boolean served(Job j) {
     for (Host h : owner.hosts.values()) {
-      if (h.lent && !h.retiring && !h.noticed && h.allowed(j.spec)) {
+      if (h.lent
+          && !h.retiring
+          && !h.noticed
+          && !h.recall
+          && (h.reported() || mayComeUp(h))
+          && h.allowed(j.spec)) {
         return true;
       }
     }
--- a/src/main/java/shorecrank/coordination/Core.java
+++ b/src/main/java/shorecrank/coordination/Core.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import shorecrank.config.NodeConfig;
 import shorecrank.config.Tuning;
@@ -29,10 +31,12 @@
 import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.RolloutMessages;
 import shorecrank.protocol.RolloutMessages.Announcement;
+import shorecrank.protocol.ShareMessages;
 import shorecrank.protocol.StoreMessages;
 import shorecrank.protocol.UserMessages.Standing;
 import shorecrank.protocol.WorkerMessages;
 import shorecrank.protocol.WorkerMessages.Report;
+import shorecrank.rebalance.ShareSettings;
 import shorecrank.rollout.FeatureGate;
 import shorecrank.rollout.RolloutCoordinator;
 import shorecrank.rollout.RolloutSetup;
@@ -68,6 +72,8 @@
 
   private final RolloutCoordinator rollout;
   private final RolloutRequestHandler rolloutRequests;
+  private final ShareRequestHandler shareRequests;
+  private final boolean sharesEnabled;
   private final FeatureGate gate = new FeatureGate();
   private final UserRequestHandler userRequests;
   private final Cancellations cancellations;
@@ -103,19 +109,23 @@
 
   /** A controller without rollouts: it writes and sends nothing above the lowest level. */
   public Core(NodeConfig config, Tuning tuning, WriterId writer) {
-    this(config, tuning, writer, null);
+    this(config, tuning, writer, null, null);
   }
 
   /**
    * @param setup of rollouts; null if they are not enabled
+   * @param shares the settings of shares, which need rollouts; null if they are not enabled
    */
-  public Core(NodeConfig config, Tuning tuning, WriterId writer, RolloutSetup setup) {
+  public Core(
+      NodeConfig config, Tuning tuning, WriterId writer, RolloutSetup setup, ShareSettings shares) {
     this.ports = new Ports(config, tuning, writer);
     this.announcement = setup == null ? null : setup.announcement();
     this.election = new Election(ports, setup == null ? null : announcement.supported());
     this.rollout = setup == null ? null : coordinator(setup);
     this.rolloutRequests = new RolloutRequestHandler(ports, election, rollout);
-    this.leader = new Leader(ports, election, rollout);
+    this.leader = new Leader(ports, election, rollout, gate, shares);
+    this.shareRequests = new ShareRequestHandler(ports, election, leader.moves());
+    this.sharesEnabled = shares != null;
     this.cancellations = new Cancellations(ports, this::learnCancelled, this::owner);
     this.userRequests = new UserRequestHandler(ports, cancellations, this::askOwner, this::relay);
   }
@@ -312,6 +322,8 @@
       case RolloutMessages.STATUS -> rolloutRequests.status(r);
       case RolloutMessages.ORDERS -> only("POST", r, () -> rolloutRequests.order(r));
       case RolloutMessages.KEYS -> only("POST", r, () -> rolloutRequests.keys(r));
+      case ShareMessages.SHOW -> shareRequests.show(r);
+      case ShareMessages.ORDERS -> only("POST", r, () -> shareRequests.order(r));
       case PeerMessages.NUDGE ->
           only(
               "POST",
@@ -690,7 +702,9 @@
       }
       refused.remove(l.part());
       if (s == null) {
-        s = new ShardOwner(ports, cancellations, gate, l.part(), l.epoch(), ports.now());
+        s =
+            new ShardOwner(
+                ports, cancellations, gate, l.part(), l.epoch(), ports.now(), sharesEnabled);
         s.catalog(catalog);
         s.custody().assignedAll(lent.values());
         s.load();
@@ -804,6 +818,17 @@
     return m;
   }
 
+  /** The machines that this process may command at a moment, for observers. */
+  public Set<HostName> commandedMachines(MonotonicTime at) {
+    Set<HostName> machines = new HashSet<>();
+    for (ShardOwner s : shardOwners.values()) {
+      if (s.validAt(at)) {
+        machines.addAll(s.custody().commanded());
+      }
+    }
+    return machines;
+  }
+
   /** The epochs of the parts owned here, for observers. */
   public Map<PartId, Epoch> owned() {
     Map<PartId, Epoch> m = new TreeMap<>();
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -28,6 +28,9 @@
 import shorecrank.protocol.PeerMessages.ShardReport;
 import shorecrank.protocol.PeerMessages.WorkerReachability;
 import shorecrank.protocol.StoreMessages;
+import shorecrank.rebalance.MoveCoordinator;
+import shorecrank.rebalance.ShareSettings;
+import shorecrank.rollout.FeatureGate;
 import shorecrank.rollout.RolloutCoordinator;
 
 /** The leading controller's work: epochs, shard leases, and which shard gets which machine. */
@@ -87,6 +90,10 @@
   private final MachineDirectory machines;
   private final CloudProvisioner cloud;
   private final MachineAssigner assigner;
+
+  /** The assigner where shares are enabled; else null. */
+  private final ShareAssigner shareAssigner;
+
   private Revision loadedTerm = Revision.ABSENT;
 
   /**
@@ -109,23 +116,43 @@
 
   /**
    * @param rollout says which controllers may own shards; null if rollouts are not enabled
+   * @param shares the operators' settings of shares; null if those are not enabled
    */
-  Leader(Ports ports, Election election, RolloutCoordinator rollout) {
+  Leader(
+      Ports ports,
+      Election election,
+      RolloutCoordinator rollout,
+      FeatureGate gate,
+      ShareSettings shares) {
     this.ports = ports;
     this.election = election;
     this.rollout = rollout;
     this.machines = new MachineDirectory(ports, election, () -> loadedTerm);
-    this.assigner = new SpareMachineAssigner(ports, machines, this);
+    this.shareAssigner =
+        shares == null
+            ? null
+            : new ShareAssigner(ports, election, rollout, gate, shares, machines, this);
+    this.assigner =
+        shares == null ? new SpareMachineAssigner(ports, machines, this) : shareAssigner;
     this.cloud = new CloudProvisioner(ports, machines, () -> loadedTerm, this::assign, this::meet);
   }
 
   void catalog(Map<String, HostType> c) {
     cloud.catalog(c);
+    if (shareAssigner != null) {
+      shareAssigner.catalog(c);
+    }
+  }
+
+  /** Moves of machines between shards; null if shares are not enabled. */
+  MoveCoordinator moves() {
+    return shareAssigner == null ? null : shareAssigner.moves();
   }
 
   boolean ready() {
     boolean levelKnown = rollout == null || rollout.ready();
-    return election.leading() && loadedTerm.equals(election.term()) && levelKnown;
+    boolean loaded = election.leading() && loadedTerm.equals(election.term());
+    return loaded && levelKnown && assigner.ready();
   }
 
   void tick() {
@@ -133,9 +160,10 @@
       interrupted = true;
       return;
     }
+    assigner.look();
     if (!ready()) {
       boolean loaded = loadedTerm.equals(election.term());
-      if (!loaded && !loading && !ports.now().before(loadRetryAt)) {
+      if (!loaded && !loading && !assigner.inDoubt() && !ports.now().before(loadRetryAt)) {
         load();
       }
       return;
@@ -146,7 +174,9 @@
     }
     assignParts();
     assigner.tick();
-    machines.save();
+    if (!assigner.inDoubt()) {
+      machines.save();
+    }
     cloud.tick();
   }
 
@@ -582,6 +612,7 @@
           p.owner = owner;
           p.writer = writer;
           p.epoch = new Epoch(next);
+          assigner.minted(id);
           p.vacant = false;
           p.revoking = false;
           p.leaseUntil = ports.now().plus(leaseBound());
@@ -645,9 +676,14 @@
   }
 
   @Override
-  public boolean isOwned(PartId shard) {
+  public NodeLabel owner(PartId shard) {
     Part p = parts.get(shard);
-    return p != null && !p.vacant && !p.revoking;
+    return p == null || p.vacant || p.revoking ? null : p.owner;
+  }
+
+  @Override
+  public void reload() {
+    loadedTerm = Revision.ABSENT;
   }
 
   @Override
--- a/src/main/java/shorecrank/coordination/LeaderPorts.java
+++ b/src/main/java/shorecrank/coordination/LeaderPorts.java
@@ -29,6 +29,11 @@
     ports.state(method, path, body, CALL_MS, then::answer);
   }
 
+  @Override
+  public boolean hasWrites(int changes) {
+    return ports.writes.has(changes, ports.now());
+  }
+
   @Override
   public boolean takeWrites(int changes) {
     return ports.writes.tryTake(changes, ports.now());
--- a/src/main/java/shorecrank/coordination/MachineCustody.java
+++ b/src/main/java/shorecrank/coordination/MachineCustody.java
@@ -132,6 +132,7 @@
     }
     h.recall = a.recall();
     h.move = a.move();
+    h.hasRun |= a.move().isSet() && !a.recall();
   }
 
   /** The machine is not assigned to this shard. */
@@ -209,6 +210,24 @@
     }
   }
 
+  /**
+   * Tasks that save don't keep a machine that is to be handed over, once they have run so long that
+   * their start counts; all others run to their end.
+   */
+  void stopSavingTasks() {
+    for (Host h : machines.values()) {
+      if (!h.recall) {
+        continue;
+      }
+      for (LiveTask t : h.live) {
+        if (t.movable() && t.lost(ports.now()) > Autoscaler.SETTLED_S) {
+          t.revoked = true;
+          ports.count("task.moved");
+        }
+      }
+    }
+  }
+
   // ---- reports ---------------------------------------------------------------------------------
 
   /** The epoch that a worker must have shown before its reports count. */
@@ -232,6 +251,7 @@
     for (Host h : machines.values()) {
       if (h.recall && isSettled(h, liveness)) {
         back.add(new HandedBack(h.name, h.move));
+        h.handedBack = h.move;
       }
     }
     return back;
@@ -267,6 +287,20 @@
     return true;
   }
 
+  /**
+   * Machines that this owner may command: those assigned here that it has not handed back. For
+   * observers.
+   */
+  Set<HostName> commanded() {
+    Set<HostName> names = new HashSet<>();
+    for (Host h : machines.values()) {
+      if (h.lent && !(h.recall && h.handedBack.equals(h.move) && h.move.isSet())) {
+        names.add(h.name);
+      }
+    }
+    return names;
+  }
+
   /** Machines that records of this shard name although they are assigned to another. */
   List<HostName> misplaced() {
     List<HostName> names = new ArrayList<>();
--- a/src/main/java/shorecrank/coordination/MachineDirectory.java
+++ b/src/main/java/shorecrank/coordination/MachineDirectory.java
@@ -68,6 +68,9 @@
 
     MonotonicTime listedAt = MonotonicTime.NEVER;
 
+    /** Whether another assignment is being written, so that it is not known whose it is. */
+    private boolean inTransfer;
+
     /** Whether the assignment stands in the state service. */
     private boolean recorded;
 
@@ -149,16 +152,26 @@
 
   /** A machine belongs to a shard from now on, under the shard's epoch. */
   void assign(HostInfo info, PartId part, Epoch term) {
+    put(info, part, term);
+    unsaved.add(bucket(info.name()));
+  }
+
+  private void reassign(Machine machine, NextAssignment next) {
+    Machine again = put(machine.info, next.part, next.term);
+    again.recorded = true;
+  }
+
+  private Machine put(HostInfo info, PartId part, Epoch term) {
     Machine machine = new Machine();
     machine.info = info;
     machine.part = part;
     machine.term = term;
     machine.since = ports.now();
     machines.put(info.name(), machine);
-    unsaved.add(bucket(info.name()));
     machine.version = ++version;
     ports.info("machine %s: lent to part %s under epoch %s", info.name(), part, machine.term);
     ports.count("machine.lent");
+    return machine;
   }
 
   /** The owner is to let the machine run empty and hand it back, under an order's id. */
@@ -168,6 +181,13 @@
     machine.version = ++version;
   }
 
+  /** The owner is to say when it hears the machine. */
+  void awaitArrival(Machine machine, MoveId move) {
+    machine.recall = false;
+    machine.move = move;
+    machine.version = ++version;
+  }
+
   /** The owner may use the machine; the order that concerned it is over. */
   void keep(Machine machine) {
     machine.recall = false;
@@ -180,6 +200,10 @@
     if (machines.remove(name) != null) {
       unsaved.add(bucket(name));
     }
+    tellRemoved(name);
+  }
+
+  private void tellRemoved(HostName name) {
     removals.add(new Removal(++version, name));
     while (removals.size() > Math.max(MIN_KEPT_REMOVALS, machines.size())) {
       removalsFrom = removals.poll().version;
@@ -215,10 +239,11 @@
   /**
    * Whether owners may be told of an assignment. With several shards only once it is written down:
    * the next leader would otherwise not know of it and might assign the machine to another shard
-   * while it holds tasks. With one shard there is no other.
+   * while it holds tasks. With one shard there is no other. And nobody is told of a machine that is
+   * passing on: a new owner of the shard that has handed it back would take it for its own.
    */
   private static boolean mayTell(Machine machine, boolean oneShard) {
-    return machine.recorded || oneShard;
+    return (machine.recorded || oneShard) && !machine.inTransfer;
   }
 
   // ---- reading ---------------------------------------------------------------------------------
@@ -345,6 +370,130 @@
     return new BucketValues(values, allBytes + bytes);
   }
 
+  /** A machine's next shard, and the term under which it is assigned there. */
+  record NextAssignment(PartId part, Epoch term) {}
+
+  /**
+   * New assignments that are written in a transaction of somebody else's. Until that is over no
+   * other assignment is written.
+   */
+  final class Transfer {
+    private final Map<HostName, NextAssignment> moved = new TreeMap<>();
+    private final Map<String, ArrayNode> values = new TreeMap<>();
+    private final Map<Integer, List<Machine>> buckets = new TreeMap<>();
+
+    Set<HostName> machines() {
+      return moved.keySet();
+    }
+
+    int operations() {
+      return values.size();
+    }
+
+    void addTo(StoreMessages.Txn txn) {
+      values.forEach((key, value) -> guardedWrite(txn, key, value));
+    }
+
+    void committed(Revision at) {
+      saving = false;
+      values.keySet().forEach(key -> revisions.put(key, at));
+      buckets.values().forEach(inBucket -> inBucket.forEach(MachineDirectory.this::recorded));
+      moved.forEach(
+          (name, next) -> {
+            Machine machine = machines.get(name);
+            if (machine != null) {
+              reassign(machine, next);
+            }
+          });
+    }
+
+    /**
+     * Not carried out, and never will be.
+     *
+     * @param conflict whether something else stands there than was written last
+     */
+    void refused(boolean conflict) {
+      saving = false;
+      unsaved.addAll(buckets.keySet());
+      for (HostName name : moved.keySet()) {
+        Machine machine = machines.get(name);
+        if (machine != null) {
+          machine.inTransfer = false;
+          machine.version = ++version;
+        }
+      }
+      if (conflict) {
+        readRevisions();
+      }
+    }
+  }
+
+  /**
+   * Prepares new assignments, as many as fit beside {@code otherOperations} and {@code otherBytes};
+   * null if none can be written now.
+   */
+  Transfer prepare(Map<HostName, NextAssignment> assignments, int otherOperations, int otherBytes) {
+    if (saving) {
+      return null;
+    }
+    Transfer transfer = new Transfer();
+    int bytes = otherBytes;
+    for (Map.Entry<HostName, NextAssignment> e : assignments.entrySet()) {
+      if (!machines.containsKey(e.getKey())) {
+        continue;
+      }
+      int bucket = bucket(e.getKey());
+      Map<HostName, NextAssignment> moved = new TreeMap<>(transfer.moved);
+      moved.put(e.getKey(), e.getValue());
+      List<Machine> inBucket = machinesIn(bucket);
+      BucketValues next = values(bucket, inBucket.stream().map(m -> as(m, moved)).toList());
+      boolean another = !transfer.buckets.containsKey(bucket);
+      int operations = transfer.values.size() + (another ? next.byKey.size() : 0);
+      int more = another ? next.bytes : 0;
+      boolean full =
+          operations + otherOperations > ports.config.state().txnOps()
+              || bytes + more > StoreMessages.TXN_FILL_BYTES;
+      if (full) {
+        continue;
+      }
+      bytes += more;
+      transfer.moved.put(e.getKey(), e.getValue());
+      transfer.buckets.put(bucket, inBucket);
+      transfer.values.putAll(next.byKey);
+    }
+    if (transfer.moved.isEmpty()) {
+      return null;
+    }
+    saving = true;
+    unsaved.removeAll(transfer.buckets.keySet());
+    for (HostName name : transfer.moved.keySet()) {
+      machines.get(name).inTransfer = true;
+      tellRemoved(name);
+    }
+    return transfer;
+  }
+
+  private List<Machine> machinesIn(int bucket) {
+    return machines.values().stream().filter(m -> bucket(m.info.name()) == bucket).toList();
+  }
+
+  private static Machine as(Machine machine, Map<HostName, NextAssignment> moved) {
+    NextAssignment next = moved.get(machine.info.name());
+    if (next == null) {
+      return machine;
+    }
+    Machine other = new Machine();
+    other.info = machine.info;
+    other.part = next.part;
+    other.term = next.term;
+    return other;
+  }
+
+  private void guardedWrite(StoreMessages.Txn txn, String key, ArrayNode machinesOfKey) {
+    txn.guard(key, revisions.getOrDefault(key, Revision.ABSENT))
+        .write(key, Json.object().set(MACHINES, machinesOfKey));
+  }
+
   private static ArrayNode write(Machine m) {
     return Json.array()
         .add(m.info.name().value())
@@ -374,10 +523,7 @@
     unsaved.removeAll(batch.buckets.keySet());
     Revision term = loadedTerm.get();
     StoreMessages.Txn txn = new StoreMessages.Txn().guard(election.key(), term);
-    batch.values.forEach(
-        (key, machinesOfKey) ->
-            txn.guard(key, revisions.getOrDefault(key, Revision.ABSENT))
-                .write(key, Json.object().set(MACHINES, machinesOfKey)));
+    batch.values.forEach((key, machinesOfKey) -> guardedWrite(txn, key, machinesOfKey));
     ports.state(
         "POST",
         StoreMessages.MULTI,
--- a/src/main/java/shorecrank/coordination/RolloutRequestHandler.java
+++ b/src/main/java/shorecrank/coordination/RolloutRequestHandler.java
@@ -2,10 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-import shorecrank.protocol.Ids.NodeLabel;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.RolloutMessages;
 import shorecrank.protocol.RolloutMessages.Order;
@@ -19,7 +17,6 @@
  * pass the request on, so that the answer is the same wherever it is asked for.
  */
 final class RolloutRequestHandler {
-  private static final int FORWARD_MS = 3000;
   private static final int READ_MS = 2000;
   private static final int PAGE = 200;
 
@@ -27,7 +24,7 @@
   private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9/._-]+");
 
   private final Ports ports;
-  private final Election election;
+  private final LeaderForwarder leader;
   private final RolloutCoordinator rollout;
 
   /**
@@ -35,18 +32,19 @@
    */
   RolloutRequestHandler(Ports ports, Election election, RolloutCoordinator rollout) {
     this.ports = ports;
-    this.election = election;
+    this.leader = new LeaderForwarder(ports, election, "rollouts", "--rollout FILE");
     this.rollout = rollout;
   }
 
   void status(Input.Request r) {
-    atLeader(
+    leader.answer(
         r,
         RolloutMessages.STATUS,
+        rollout != null,
         request -> {
           Status status = rollout.status();
           if (status == null) {
-            unknown(r, "the leader, " + ports.config.label() + ", can't read the level");
+            leader.unknown(r, "the leader, " + ports.config.label() + ", can't read the level");
           } else {
             ports.reply(r.reply(), 200, RolloutMessages.write(status));
           }
@@ -54,9 +52,10 @@
   }
 
   void order(Input.Request r) {
-    atLeader(
+    leader.answer(
         r,
         RolloutMessages.ORDERS,
+        rollout != null,
         request -> {
           Order order = RolloutMessages.readOrder(request);
           if (order == null) {
@@ -68,7 +67,8 @@
               order,
               outcome -> {
                 if (outcome == null) {
-                  unknown(r, "the leader is busy or got no answer: send the same order again");
+                  leader.unknown(
+                      r, "the leader is busy or got no answer: send the same order again");
                 } else {
                   int status = outcome.accepted() ? 200 : 409;
                   ports.reply(r.reply(), status, RolloutMessages.write(outcome));
@@ -80,7 +80,7 @@
   /** Only keys of the service, and its archives. */
   void keys(Input.Request r) {
     if (rollout == null) {
-      notEnabled(r);
+      leader.notEnabled(r);
       return;
     }
     JsonNode request = Json.parse(r.body());
@@ -104,50 +104,8 @@
           if (status == 200) {
             ports.reply(r.reply(), 200, body);
           } else {
-            unknown(r, ports.config.label() + " does not reach the state service");
+            leader.unknown(r, ports.config.label() + " does not reach the state service");
           }
         });
   }
-
-  private void atLeader(Input.Request r, String path, Consumer<JsonNode> here) {
-    if (rollout == null) {
-      notEnabled(r);
-      return;
-    }
-    JsonNode request = Json.parse(r.body());
-    NodeLabel leader = election.leader();
-    if (election.holding()) {
-      here.accept(request);
-    } else if (leader == null || leader.equals(ports.config.label())) {
-      unknown(r, "no controller leads now");
-    } else if (RolloutMessages.isForwarded(request)) {
-      unknown(r, ports.config.label() + " does not lead any more");
-    } else {
-      ports.peer(
-          leader,
-          path,
-          RolloutMessages.forwarded(request),
-          FORWARD_MS,
-          (status, body) -> {
-            if (status == 0) {
-              unknown(r, "the leader, " + leader + ", does not answer");
-            } else if (status == 404) {
-              unknown(r, "the leader, " + leader + ", runs without rollouts");
-            } else {
-              ports.reply(r.reply(), status, body);
-            }
-          });
-    }
-  }
-
-  private void unknown(Input.Request r, String reason) {
-    ports.replyLater(r.reply(), 503, RolloutMessages.unknown(reason), 1);
-  }
-
-  private void notEnabled(Input.Request r) {
-    ports.reply(
-        r.reply(),
-        404,
-        Json.error("rollouts are not enabled on " + ports.config.label() + " (--rollout FILE)"));
-  }
 }
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/ShardDemands.java
@@ -0,0 +1,160 @@
+package shorecrank.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import shorecrank.config.NodeConfig;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.JobSpec.Priority;
+import shorecrank.protocol.ShareMessages.Candidate;
+import shorecrank.protocol.ShareMessages.DrainProgress;
+import shorecrank.protocol.ShareMessages.DrainState;
+import shorecrank.protocol.ShareMessages.ShardDemand;
+
+/** What a shard's owner tells the leader of its share: what it has, needs and could give up. */
+final class ShardDemands {
+  /** So many machines are named that the shard could give up. */
+  private static final int MOST_CANDIDATES = 32;
+
+  /** A machine that should be empty in more than this is not named. */
+  private static final double MAX_EMPTY_S = 1e6;
+
+  private final Ports ports;
+  private final ShardOwner owner;
+
+  ShardDemands(Ports ports, ShardOwner owner) {
+    this.ports = ports;
+    this.owner = owner;
+  }
+
+  /** As of now; null while the picture is not whole. */
+  ShardDemand now() {
+    if (!owner.ready() || !owner.valid()) {
+      return null;
+    }
+    double capacity = 0;
+    double running = 0;
+    List<Candidate> candidates = new ArrayList<>();
+    List<DrainProgress> draining = new ArrayList<>();
+    List<MoveId> arrived = new ArrayList<>();
+    for (Host h : owner.hosts.values()) {
+      running += h.type() == null ? 0 : Math.min(h.usedCpus(), h.type().cpus());
+      if (h.recall) {
+        draining.add(progress(h));
+      } else if (h.lent && h.type() != null) {
+        capacity += h.type().cpus();
+        if (h.move.isSet() && h.known) {
+          arrived.add(h.move);
+        }
+        if (owner.usable(h) || h.draining) {
+          candidates.add(new Candidate(h.name, h.type().cpus(), emptyInS(h)));
+        }
+      }
+    }
+    candidates.sort(
+        Comparator.comparingDouble(Candidate::emptyInS).thenComparing(Candidate::machine));
+    List<Candidate> soonest =
+        List.copyOf(candidates.subList(0, Math.min(MOST_CANDIDATES, candidates.size())));
+    Queue queue = queue();
+    return new ShardDemand(
+        capacity,
+        running,
+        queue.waiting,
+        guaranteed(),
+        queue.oldestS,
+        queue.kinds,
+        soonest,
+        draining,
+        arrived);
+  }
+
+  private DrainProgress progress(Host h) {
+    DrainState state = DrainState.DRAINING;
+    if (h.noticed) {
+      state = DrainState.NOTICED;
+    } else if (h.known && !owner.liveness.fresh(h)) {
+      state = DrainState.SILENT;
+    }
+    return new DrainProgress(h.move, state, h.live.size(), emptyInS(h));
+  }
+
+  /** Seconds until the machine's tasks should have ended, or can be stopped with their progress. */
+  private double emptyInS(Host h) {
+    double longest = 0;
+    for (LiveTask t : h.live) {
+      double left = t.leftS(ports.now());
+      if (t.job.spec.checkpointS() > 0) {
+        left = Math.min(left, Math.max(0, Autoscaler.SETTLED_S - t.lost(ports.now())));
+      }
+      longest = Math.max(longest, left);
+    }
+    return Math.min(MAX_EMPTY_S, longest);
+  }
+
+  /** What waits: processors by priority, the age of the oldest job without a task, and for what. */
+  private record Queue(List<Double> waiting, double oldestS, List<Offer> kinds) {}
+
+  private Queue queue() {
+    double[] waiting = new double[Priority.values().length];
+    double oldestS = 0;
+    Set<Offer> kinds = new LinkedHashSet<>();
+    Map<String, double[]> left = new HashMap<>();
+    for (Job j : owner.jobs.values()) {
+      if (j.queued() == 0 || j.backoff > 0) {
+        continue;
+      }
+      double[] ofTeam = left.computeIfAbsent(j.spec.team(), owner::limitLeft);
+      int n = ShardOwner.within(ofTeam, j);
+      if (n == 0) {
+        continue;
+      }
+      ofTeam[0] -= n * j.spec.cpus();
+      ofTeam[1] -= n * j.spec.gpus();
+      waiting[j.priority.ordinal()] += n * j.spec.cpus();
+      if (j.live.isEmpty() && j.doneCount() == 0) {
+        oldestS = Math.max(oldestS, j.readyS(ports.wallMs()));
+      }
+      addKinds(j, kinds);
+    }
+    List<Double> byPriority = new ArrayList<>();
+    for (double cpus : waiting) {
+      byPriority.add(cpus);
+    }
+    return new Queue(byPriority, oldestS, List.copyOf(kinds));
+  }
+
+  private void addKinds(Job j, Set<Offer> kinds) {
+    for (HostType type : owner.catalog().values()) {
+      for (String zone : type.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Offer offer = new Offer(type.name(), zone, spot);
+          if (!kinds.contains(offer) && Placement.allowed(j.spec, offer, type)) {
+            kinds.add(offer);
+          }
+        }
+      }
+    }
+  }
+
+  /** Of what each team has and asks for, what is within its guarantee. */
+  private double guaranteed() {
+    Map<String, Double> asked = new HashMap<>();
+    for (Job j : owner.jobs.values()) {
+      double cpus = (j.live.size() + j.queued()) * j.spec.cpus();
+      asked.merge(j.spec.team(), cpus, Double::sum);
+    }
+    double within = 0;
+    for (Map.Entry<String, Double> e : asked.entrySet()) {
+      NodeConfig.Team team = ports.config.teams().get(e.getKey());
+      within += team == null ? 0 : Math.min(team.cpus(), e.getValue());
+    }
+    return within;
+  }
+}
--- a/src/main/java/shorecrank/coordination/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -124,6 +124,10 @@
   private final RecordReferences references;
 
   private final MachineCustody custody;
+
+  /** Says what the shard needs; null where shares are not enabled. */
+  private final ShardDemands demands;
+
   final Map<HostName, Host> hosts;
 
   /** Jobs with something to write. */
@@ -158,7 +162,8 @@
       FeatureGate gate,
       PartId part,
       Epoch epoch,
-      MonotonicTime grantedAt) {
+      MonotonicTime grantedAt,
+      boolean shares) {
     this.ports = ports;
     this.cancellations = cancellations;
     this.gate = gate;
@@ -170,6 +175,7 @@
     ForeignTasks foreign = oneShard ? null : new ForeignTasks(ports, part);
     this.custody = new MachineCustody(ports, part, references, foreign, new TasksOfMachines());
     this.hosts = custody.machines();
+    this.demands = shares ? new ShardDemands(ports, this) : null;
     this.liveness = new WorkerLiveness(ports, hosts.values(), grantedAt);
     this.autoscaler = new Autoscaler(ports, this);
     this.dependencies = new Dependencies(ports, jobs, cancellations, this::cancelWithOthers);
@@ -340,6 +346,9 @@
         lookedAt = ports.now();
         ports.count("round.looks", hosts.size());
         custody.expireLeases(liveness);
+        if (references != null) {
+          custody.stopSavingTasks();
+        }
         UtilizationGauges.tell(ports, hosts.values(), jobs.values(), liveness);
         hearsFew = liveness.hearsFew();
         // Whatever became due without being touched.
@@ -1918,6 +1927,6 @@
         back,
         custody.misplaced(),
         references != null,
-        null);
+        demands == null ? null : demands.now());
   }
 }
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/ShareAssigner.java
@@ -0,0 +1,230 @@
+package shorecrank.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import shorecrank.coordination.MachineDirectory.Machine;
+import shorecrank.coordination.MachineDirectory.NextAssignment;
+import shorecrank.coordination.MachineDirectory.Transfer;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.Ids.NodeLabel;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Revision;
+import shorecrank.protocol.PeerMessages.ShardReport;
+import shorecrank.protocol.StoreMessages.Txn;
+import shorecrank.rebalance.MoveCoordinator;
+import shorecrank.rebalance.ShareFleet;
+import shorecrank.rebalance.ShareSettings;
+import shorecrank.rollout.Feature;
+import shorecrank.rollout.FeatureGate;
+import shorecrank.rollout.RolloutCoordinator;
+
+/** Assigns machines by shares: what {@link MoveCoordinator} sees of the leader, and tells it. */
+final class ShareAssigner implements MachineAssigner, ShareFleet {
+  /** The shares' key is changed in the same transaction. */
+  private static final int OTHER_OPERATIONS = 1;
+
+  private final Ports ports;
+  private final MachineDirectory machines;
+  private final ShardTable shards;
+  private final RolloutCoordinator rollout;
+  private final MoveCoordinator moves;
+  private Map<String, HostType> catalog = Map.of();
+
+  ShareAssigner(
+      Ports ports,
+      Election election,
+      RolloutCoordinator rollout,
+      FeatureGate gate,
+      ShareSettings settings,
+      MachineDirectory machines,
+      ShardTable shards) {
+    this.ports = ports;
+    this.machines = machines;
+    this.shards = shards;
+    this.rollout = rollout;
+    this.moves =
+        new MoveCoordinator(
+            new LeaderPorts(ports),
+            election,
+            gate,
+            this,
+            settings,
+            List.copyOf(ports.config.teams().keySet()),
+            this::reasonsAgainstMoves);
+  }
+
+  MoveCoordinator moves() {
+    return moves;
+  }
+
+  void catalog(Map<String, HostType> types) {
+    catalog = types;
+  }
+
+  /** A controller that knows no moves may be given a shard by an earlier version at any time. */
+  private List<String> reasonsAgainstMoves() {
+    List<String> reasons = new ArrayList<>();
+    for (NodeLabel label : rollout.unsupporting(Feature.SHARES.level())) {
+      reasons.add(label + ": runs without shares, or a version that knows none");
+    }
+    return reasons;
+  }
+
+  // ---- for the leader --------------------------------------------------------------------------
+
+  @Override
+  public void began() {
+    moves.began();
+  }
+
+  @Override
+  public boolean ready() {
+    return moves.ready();
+  }
+
+  @Override
+  public void look() {
+    moves.look();
+  }
+
+  @Override
+  public boolean inDoubt() {
+    return moves.inDoubt();
+  }
+
+  @Override
+  public PartId shardOfNewcomer() {
+    return moves.shardOfNewcomer();
+  }
+
+  @Override
+  public void reported(ShardReport report) {
+    moves.reported(report);
+  }
+
+  @Override
+  public void minted(PartId shard) {
+    moves.minted(shard);
+  }
+
+  @Override
+  public void tick() {
+    moves.tick();
+  }
+
+  // ---- for the moves ---------------------------------------------------------------------------
+
+  @Override
+  public int shards() {
+    return ports.tuning.parts();
+  }
+
+  @Override
+  public Collection<FleetMachine> machines() {
+    return machines.all().stream().map(this::described).toList();
+  }
+
+  @Override
+  public List<HostName> ordered() {
+    return machines.all().stream().filter(m -> m.move.isSet()).map(m -> m.info.name()).toList();
+  }
+
+  @Override
+  public FleetMachine machine(HostName name) {
+    Machine machine = machines.get(name);
+    return machine == null ? null : described(machine);
+  }
+
+  private FleetMachine described(Machine m) {
+    HostType type = catalog.get(m.info.type());
+    return new FleetMachine(
+        m.info.name(),
+        new Offer(m.info.type(), m.info.zone(), m.info.spot()),
+        type == null ? 0 : type.cpus(),
+        m.part,
+        m.term,
+        m.move);
+  }
+
+  @Override
+  public Epoch epoch(PartId shard) {
+    return shards.epoch(shard);
+  }
+
+  @Override
+  public String owner(PartId shard) {
+    NodeLabel owner = shards.owner(shard);
+    return owner == null ? "" : owner.value();
+  }
+
+  @Override
+  public void raiseAbove(PartId shard, Epoch least) {
+    shards.raiseAbove(shard, least);
+  }
+
+  @Override
+  public void recall(HostName name, MoveId order) {
+    machines.recall(machines.get(name), order);
+  }
+
+  @Override
+  public void keep(HostName name) {
+    machines.keep(machines.get(name));
+  }
+
+  @Override
+  public void awaitArrival(HostName name, MoveId order) {
+    machines.awaitArrival(machines.get(name), order);
+  }
+
+  @Override
+  public void reload() {
+    shards.reload();
+  }
+
+  @Override
+  public Handover prepare(Map<HostName, PartId> assignments) {
+    Map<HostName, NextAssignment> next = new TreeMap<>();
+    assignments.forEach(
+        (name, shard) -> next.put(name, new NextAssignment(shard, shards.epoch(shard))));
+    int valueBytes = (int) (ports.config.state().valueKb() * 1024);
+    Transfer transfer = machines.prepare(next, OTHER_OPERATIONS, valueBytes);
+    return transfer == null ? null : new DirectoryHandover(transfer);
+  }
+
+  /** New assignments in the machine directory. */
+  private record DirectoryHandover(Transfer transfer) implements Handover {
+    @Override
+    public Set<HostName> machines() {
+      return transfer.machines();
+    }
+
+    @Override
+    public int operations() {
+      return transfer.operations();
+    }
+
+    @Override
+    public void addTo(Txn transaction) {
+      transfer.addTo(transaction);
+    }
+
+    @Override
+    public void committed(Revision at) {
+      transfer.committed(at);
+    }
+
+    @Override
+    public void refused(boolean conflict) {
+      transfer.refused(conflict);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/ShareRequestHandler.java
@@ -0,0 +1,64 @@
+package shorecrank.coordination;
+
+import shorecrank.protocol.Json;
+import shorecrank.protocol.ShareMessages;
+import shorecrank.protocol.ShareMessages.ShareOrder;
+import shorecrank.protocol.ShareMessages.SharesStatus;
+import shorecrank.rebalance.MoveCoordinator;
+
+/** Operators' requests about shares, taken by every controller and answered by the leader. */
+final class ShareRequestHandler {
+  private final Ports ports;
+  private final LeaderForwarder leader;
+  private final MoveCoordinator moves;
+
+  /**
+   * @param moves null if shares are not enabled here
+   */
+  ShareRequestHandler(Ports ports, Election election, MoveCoordinator moves) {
+    this.ports = ports;
+    this.leader = new LeaderForwarder(ports, election, "shares", "--shares FILE");
+    this.moves = moves;
+  }
+
+  void show(Input.Request r) {
+    leader.answer(
+        r,
+        ShareMessages.SHOW,
+        moves != null,
+        request -> {
+          SharesStatus status = moves.status();
+          if (status == null) {
+            leader.unknown(r, "the leader, " + ports.config.label() + ", can't read the moves");
+          } else {
+            ports.reply(r.reply(), 200, ShareMessages.write(status));
+          }
+        });
+  }
+
+  void order(Input.Request r) {
+    leader.answer(
+        r,
+        ShareMessages.ORDERS,
+        moves != null,
+        request -> {
+          ShareOrder order = ShareMessages.readOrder(request);
+          if (order == null) {
+            ports.refused("shares.malformed", "malformed order of shares refused");
+            ports.reply(r.reply(), 400, Json.error("malformed order"));
+            return;
+          }
+          moves.order(
+              order,
+              outcome -> {
+                if (outcome == null) {
+                  leader.unknown(
+                      r, "the leader is busy or got no answer: send the same order again");
+                } else {
+                  int status = outcome.accepted() ? 200 : 409;
+                  ports.reply(r.reply(), status, ShareMessages.write(outcome));
+                }
+              });
+        });
+  }
+}
--- a/src/main/java/shorecrank/coordination/SpareMachineAssigner.java
+++ b/src/main/java/shorecrank/coordination/SpareMachineAssigner.java
@@ -38,6 +38,22 @@
     }
   }
 
+  @Override
+  public boolean ready() {
+    return true;
+  }
+
+  @Override
+  public void look() {}
+
+  @Override
+  public boolean inDoubt() {
+    return false;
+  }
+
+  @Override
+  public void minted(PartId shard) {}
+
   @Override
   public void tick() {}
 
--- a/src/main/java/shorecrank/daemon/ClassArchiveTraining.java
+++ b/src/main/java/shorecrank/daemon/ClassArchiveTraining.java
@@ -68,7 +68,7 @@
             .formatted(pub, peer);
     NodeConfig config = NodeConfig.read(text.getBytes(StandardCharsets.UTF_8));
     try {
-      new Daemon(config, TuningFile.defaults(), null, "rehearsal").start();
+      new Daemon(config, TuningFile.defaults(), null, null, "rehearsal").start();
       return new int[] {pub, peer};
     } catch (Exception e) {
       if (tries <= 1) {
--- a/src/main/java/shorecrank/daemon/Daemon.java
+++ b/src/main/java/shorecrank/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import shorecrank.config.Tuning;
 import shorecrank.coordination.Core;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.rebalance.ShareSettings;
 import shorecrank.rollout.RolloutSetup;
 import shorecrank.transport.Runtime;
 
@@ -18,14 +19,19 @@
 
   /**
    * @param rollout null if rollouts are not enabled
+   * @param shares null if shares are not enabled
    * @param identity names this process and no other, also not a later one under the same label
    */
-  Daemon(NodeConfig config, Tuning tuning, RolloutSetup rollout, String identity) {
+  Daemon(
+      NodeConfig config,
+      Tuning tuning,
+      RolloutSetup rollout,
+      ShareSettings shares,
+      String identity) {
     this.config = config;
     WriterId writer = new WriterId(config.label() + "." + identity);
-    this.runtime =
-        new Runtime(
-            config, tuning, new Core(config, tuning, writer, rollout), new SimpleMeterRegistry());
+    Core core = new Core(config, tuning, writer, rollout, shares);
+    this.runtime = new Runtime(config, tuning, core, new SimpleMeterRegistry());
   }
 
   void start() throws InterruptedException {
--- a/src/main/java/shorecrank/daemon/Main.java
+++ b/src/main/java/shorecrank/daemon/Main.java
@@ -14,6 +14,7 @@
 import shorecrank.config.NodeConfig;
 import shorecrank.config.Tuning;
 import shorecrank.config.TuningFile;
+import shorecrank.rebalance.ShareSettings;
 import shorecrank.rollout.RolloutSettings;
 import shorecrank.rollout.RolloutSetup;
 
@@ -41,7 +42,8 @@
                         "LOG_LEVEL sets the log on standard error: error, info or debug.",
                         "",
                         "Commands for operators: rollout status|finalize|downgrade|abort,",
-                        "archive create|verify|diff; each has its own --help."))
+                        "archive create|verify|diff, shares show|set|move|abort; each has its own",
+                        "--help."))
             .addOption(
                 OptionSpec.builder("--config")
                     .paramLabel("FILE")
@@ -60,6 +62,14 @@
                     .type(Path.class)
                     .description("enables rollouts, with these settings (protobuf text format)")
                     .build())
+            .addOption(
+                OptionSpec.builder("--shares")
+                    .paramLabel("FILE")
+                    .type(Path.class)
+                    .description(
+                        "enables moves of machines between shards, with these settings (protobuf"
+                            + " text format); needs --rollout")
+                    .build())
             .addOption(
                 OptionSpec.builder("--rehearse")
                     .hidden(true)
@@ -115,9 +125,14 @@
       return complain("--config FILE is required");
     }
     Path rolloutFile = parsed.matchedOptionValue("--rollout", null);
+    Path sharesFile = parsed.matchedOptionValue("--shares", null);
+    if (sharesFile != null && rolloutFile == null) {
+      return complain("--shares needs --rollout FILE");
+    }
     NodeConfig config;
     Tuning tuning;
     RolloutSetup rollout = null;
+    ShareSettings shares = null;
     Path reading = configFile;
     try {
       config = NodeConfig.read(Files.readAllBytes(configFile));
@@ -129,7 +144,12 @@
       if (rolloutFile != null) {
         reading = rolloutFile;
         RolloutSettings settings = RolloutSettings.read(Files.readString(rolloutFile));
-        rollout = RolloutSetup.of(settings, build(version), tuning);
+        rollout = RolloutSetup.of(settings, build(version), tuning, sharesFile != null);
+      }
+      if (sharesFile != null) {
+        reading = sharesFile;
+        shares = ShareSettings.read(Files.readString(sharesFile));
+        shares.check(config, tuning.parts());
       }
     } catch (NodeConfig.Invalid e) {
       return complain(reading + ": " + e.getMessage());
@@ -138,7 +158,7 @@
     }
     try {
       String identity = UUID.randomUUID().toString().substring(0, 13);
-      new Daemon(config, tuning, rollout, identity).start();
+      new Daemon(config, tuning, rollout, shares, identity).start();
     } catch (Exception e) {
       return complain("can't listen on " + config.publicAddr() + " and " + config.peerBind());
     }
--- a/src/main/java/shorecrank/leadership/LeaderEnvironment.java
+++ b/src/main/java/shorecrank/leadership/LeaderEnvironment.java
@@ -20,6 +20,9 @@
   /** Calls the state service. */
   void state(String method, String path, JsonNode body, OnAnswer then);
 
+  /** Whether that many changes are left of this controller's share. */
+  boolean hasWrites(int changes);
+
   /** Takes that many changes out of this controller's share, unless they are not there. */
   boolean takeWrites(int changes);
 
--- a/src/main/java/shorecrank/protocol/ShareMessages.java
+++ b/src/main/java/shorecrank/protocol/ShareMessages.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import shorecrank.protocol.CloudMessages.Offer;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.MoveId;
@@ -84,6 +85,7 @@
    *     first
    * @param guaranteed of what runs and waits, the part within its teams' guarantees
    * @param oldestWaitS since when the oldest job without any task waits, in seconds
+   * @param kinds machines that waiting tasks could run on
    * @param candidates machines that it could give up, the soonest empty first
    * @param arrived orders whose machine has come and is heard
    */
@@ -93,6 +95,7 @@
       List<Double> waiting,
       double guaranteed,
       double oldestWaitS,
+      List<Offer> kinds,
       List<Candidate> candidates,
       List<DrainProgress> draining,
       List<MoveId> arrived) {
@@ -108,6 +111,8 @@
     ArrayNode waiting = n.putArray("waiting");
     d.waiting.forEach(waiting::add);
     n.put("guaranteed", d.guaranteed).put("oldestWaitS", d.oldestWaitS);
+    ArrayNode kinds = n.putArray("kinds");
+    d.kinds.forEach(k -> kinds.addArray().add(k.type()).add(k.zone()).add(k.spot()));
     ArrayNode candidates = n.putArray("candidates");
     for (Candidate c : d.candidates) {
       candidates.addArray().add(c.machine.value()).add(c.cpus).add(c.emptyInS);
@@ -138,6 +143,10 @@
     for (JsonNode w : list(n.path("waiting"))) {
       waiting.add(amount(w, MAX_CPUS));
     }
+    List<Offer> kinds = new ArrayList<>();
+    for (JsonNode k : list(n.path("kinds"))) {
+      kinds.add(new Offer(text(k.path(0)), Json.text(k.path(1)), k.path(2).asBoolean()));
+    }
     List<Candidate> candidates = new ArrayList<>();
     for (JsonNode c : list(n.path("candidates"))) {
       candidates.add(
@@ -167,6 +176,7 @@
         List.copyOf(waiting),
         amount(n.path("guaranteed"), MAX_CPUS),
         amount(n.path("oldestWaitS"), MAX_SECONDS),
+        List.copyOf(kinds),
         List.copyOf(candidates),
         List.copyOf(draining),
         List.copyOf(arrived));
@@ -258,11 +268,13 @@
   /**
    * The key's value.
    *
+   * @param shards the number of shards by which jobs and machines were assigned; 0 if not known
    * @param nextMove the number of the next move; none is used twice
    * @param active moves that are under way
    * @param ended the latest that ended, the oldest first
    */
   public record SharesState(
+      int shards,
       long nextMove,
       List<Move> active,
       List<Move> ended,
@@ -270,7 +282,7 @@
       List<ShareOutcome> recentOrders) {
     /** Of a store that has never held the key. */
     public static final SharesState INITIAL =
-        new SharesState(1, List.of(), List.of(), List.of(), List.of());
+        new SharesState(0, 1, List.of(), List.of(), List.of(), List.of());
 
     /** The active move of a machine; null if there is none. */
     public Move moveOf(HostName machine) {
@@ -279,14 +291,40 @@
 
     /** The same with other moves under way. */
     public SharesState withActive(List<Move> moves) {
-      return new SharesState(nextMove, List.copyOf(moves), ended, teams, recentOrders);
+      return new SharesState(shards, nextMove, List.copyOf(moves), ended, teams, recentOrders);
+    }
+
+    /** The same of a fleet with so many shards. */
+    public SharesState withShards(int number) {
+      return new SharesState(number, nextMove, active, ended, teams, recentOrders);
+    }
+
+    /** The same with moves that begin; their numbers follow each other from the next. */
+    public SharesState withBegun(List<Move> begun) {
+      List<Move> all = new ArrayList<>(active);
+      all.addAll(begun);
+      long next = nextMove + begun.size();
+      return new SharesState(shards, next, List.copyOf(all), ended, teams, recentOrders);
+    }
+
+    /** The same with a move further on, or ended, of which the latest {@code most} are kept. */
+    public SharesState withChanged(Move move, int most) {
+      List<Move> all = new ArrayList<>(active);
+      all.replaceAll(m -> m.id.equals(move.id) ? move : m);
+      all.removeIf(m -> m.phase.isEnd());
+      List<Move> over = new ArrayList<>(ended);
+      if (move.phase.isEnd()) {
+        over.add(move);
+      }
+      return new SharesState(
+          shards, nextMove, List.copyOf(all), latest(over, most), teams, recentOrders);
     }
 
     /** The same with one more outcome, of which the latest {@code most} are kept. */
     public SharesState with(ShareOutcome outcome, int most) {
       List<ShareOutcome> all = new ArrayList<>(recentOrders);
       all.add(outcome);
-      return new SharesState(nextMove, active, ended, teams, latest(all, most));
+      return new SharesState(shards, nextMove, active, ended, teams, latest(all, most));
     }
 
     /** The same with a team's share as an operator wants it. */
@@ -294,7 +332,7 @@
       List<TeamShare> all = new ArrayList<>(teams);
       all.removeIf(t -> t.team.equals(share.team));
       all.add(share);
-      return new SharesState(nextMove, active, ended, List.copyOf(all), recentOrders);
+      return new SharesState(shards, nextMove, active, ended, List.copyOf(all), recentOrders);
     }
 
     /** The last {@code most} of a list. */
@@ -305,7 +343,7 @@
 
   /** The key's value as JSON. */
   public static ObjectNode write(SharesState s) {
-    ObjectNode n = Json.object().put("v", FORMAT).put("next", s.nextMove);
+    ObjectNode n = Json.object().put("v", FORMAT).put("parts", s.shards).put("next", s.nextMove);
     ArrayNode moves = n.putArray(MOVES);
     s.active.forEach(m -> moves.add(columns(m)));
     ArrayNode ended = n.putArray(ENDED);
@@ -362,7 +400,12 @@
       orders.add(outcome(o));
     }
     return new SharesState(
-        next, List.copyOf(active), List.copyOf(ended), List.copyOf(teams), List.copyOf(orders));
+        shard(n.path("parts")).value(),
+        next,
+        List.copyOf(active),
+        List.copyOf(ended),
+        List.copyOf(teams),
+        List.copyOf(orders));
   }
 
   private static Move readMove(JsonNode m) throws Malformed {
--- /dev/null
+++ b/src/main/java/shorecrank/rebalance/MovePlanner.java
@@ -0,0 +1,120 @@
+package shorecrank.rebalance;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.ShareMessages.Candidate;
+import shorecrank.protocol.ShareMessages.ShardDemand;
+import shorecrank.rebalance.ShareFleet.FleetMachine;
+
+/**
+ * Which machines should move for shards to come nearer to their targets: the soonest empty of the
+ * shard that has the most too many, to the shard that lacks the most.
+ */
+final class MovePlanner {
+  /** A move must bring both shards nearer to their targets: half of the machine at least. */
+  private static final double GAIN = 0.5;
+
+  /** A machine that should move. */
+  record Planned(HostName machine, PartId from, PartId to) {}
+
+  /**
+   * What moves are planned from.
+   *
+   * @param present processors by shard, with moves under way counted where they lead
+   * @param receiving shards that have lacked machines for long enough
+   * @param movable whether a machine may move now
+   */
+  record Situation(
+      Map<PartId, Double> targets,
+      Map<PartId, Double> present,
+      Map<PartId, ShardDemand> demands,
+      Set<PartId> receiving,
+      Predicate<HostName> movable) {}
+
+  private final Situation situation;
+  private final double tolerance;
+  private final Map<HostName, FleetMachine> machines = new HashMap<>();
+  private final Map<PartId, Double> present;
+  private final Set<HostName> taken = new HashSet<>();
+
+  MovePlanner(Situation situation, Collection<FleetMachine> machines, double tolerance) {
+    this.situation = situation;
+    this.tolerance = tolerance;
+    this.present = new TreeMap<>(situation.present());
+    machines.forEach(m -> this.machines.put(m.name(), m));
+  }
+
+  /** At most {@code most} moves, each planned as if those before it were done. */
+  List<Planned> plan(int most) {
+    List<Planned> plan = new ArrayList<>();
+    while (plan.size() < most) {
+      Planned next = next();
+      if (next == null) {
+        break;
+      }
+      taken.add(next.machine());
+      double cpus = machines.get(next.machine()).cpus();
+      present.merge(next.from(), -cpus, Double::sum);
+      present.merge(next.to(), cpus, Double::sum);
+      plan.add(next);
+    }
+    return plan;
+  }
+
+  /** How far a shard is above its target; negative if it is below. */
+  private double surplus(PartId shard) {
+    return present.getOrDefault(shard, 0.0) - situation.targets().getOrDefault(shard, 0.0);
+  }
+
+  private boolean beyondTolerance(PartId shard) {
+    double target = situation.targets().getOrDefault(shard, 0.0);
+    return Math.abs(surplus(shard)) > tolerance * target;
+  }
+
+  private Planned next() {
+    List<PartId> receivers = new ArrayList<>(situation.receiving());
+    receivers.removeIf(s -> surplus(s) >= 0 || !beyondTolerance(s));
+    receivers.sort((a, b) -> Double.compare(surplus(a), surplus(b)));
+    List<PartId> donors = new ArrayList<>(present.keySet());
+    donors.removeIf(s -> surplus(s) <= 0 || !situation.demands().containsKey(s));
+    donors.sort((a, b) -> Double.compare(surplus(b), surplus(a)));
+    for (PartId to : receivers) {
+      for (PartId from : donors) {
+        Planned planned = from.equals(to) ? null : choose(from, to);
+        if (planned != null) {
+          return planned;
+        }
+      }
+    }
+    return null;
+  }
+
+  private Planned choose(PartId from, PartId to) {
+    for (Candidate candidate : situation.demands().get(from).candidates()) {
+      FleetMachine machine = machines.get(candidate.machine());
+      boolean usable =
+          machine != null
+              && machine.shard().equals(from)
+              && !taken.contains(machine.name())
+              && situation.movable().test(machine.name())
+              && situation.demands().get(to).kinds().contains(machine.offer());
+      if (usable && gains(from, to, machine.cpus())) {
+        return new Planned(machine.name(), from, to);
+      }
+    }
+    return null;
+  }
+
+  private boolean gains(PartId from, PartId to, double cpus) {
+    return surplus(from) >= cpus * GAIN && -surplus(to) >= cpus * GAIN;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/rebalance/MoveRules.java
@@ -0,0 +1,131 @@
+package shorecrank.rebalance;
+
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.ShareMessages.DrainProgress;
+import shorecrank.protocol.ShareMessages.DrainState;
+import shorecrank.protocol.ShareMessages.Move;
+import shorecrank.protocol.ShareMessages.MovePhase;
+
+/**
+ * The next step of a move, from what the leader knows. It has no state: any leader, at any time,
+ * comes to a step that is safe, whatever an earlier one did last.
+ */
+final class MoveRules {
+  /** So many times the bound on a move its new owner may take until it hears the machine. */
+  private static final double ARRIVAL_FACTOR = 2;
+
+  private MoveRules() {}
+
+  /** Why a move ended without its machine being heard at its new shard. */
+  enum Reason {
+    MACHINE_GONE("the machine is gone"),
+    REASSIGNED("the machine's assignment has changed"),
+    TERMINATION_NOTICE("the cloud takes the machine back"),
+    MACHINE_SILENT("the machine's worker is not heard"),
+    TIMEOUT("tasks did not end in time"),
+    NOT_HEARD("its new owner does not hear it"),
+    ORDERED("aborted by an operator"),
+    EARLIER_VERSION("its owner runs a version that knows no moves");
+
+    private final String text;
+
+    Reason(String text) {
+      this.text = text;
+    }
+
+    /** For operators. */
+    String text() {
+      return text;
+    }
+  }
+
+  /**
+   * What is known of a move's machine.
+   *
+   * @param assignedTo the machine's shard; null if the machine is not known
+   * @param term the term of its assignment
+   * @param progress what its owner says of the order; null if it has said nothing
+   * @param ownerKnowsMoves false if the owner's last report is of an earlier version
+   * @param handedBack whether the owner has said, under this order, that nothing is left on it
+   * @param arrived whether the new owner has said that it hears the machine
+   */
+  record Observation(
+      PartId assignedTo,
+      Epoch term,
+      DrainProgress progress,
+      boolean ownerKnowsMoves,
+      boolean handedBack,
+      boolean arrived,
+      double ageS) {}
+
+  /** What is to be written down. */
+  enum Action {
+    /** Nothing. */
+    STAY,
+    /** The owner drains the machine. */
+    NOTE_DRAINING,
+    /** The machine's assignment changes, in the same transaction. */
+    HAND_OVER,
+    /** The machine has arrived. */
+    FINISH,
+    /** The move ends; the assignment stays what it is. */
+    ABORT
+  }
+
+  /** An action, and the reason of an abortion; else null. */
+  record Step(Action action, Reason reason) {
+    private static final Step STAY = new Step(Action.STAY, null);
+
+    private static Step of(Action action) {
+      return new Step(action, null);
+    }
+
+    private static Step abort(Reason reason) {
+      return new Step(Action.ABORT, reason);
+    }
+  }
+
+  /** The next step of a move that is under way. */
+  static Step next(Move move, Observation seen, double timeoutS) {
+    if (seen.assignedTo == null) {
+      return Step.abort(Reason.MACHINE_GONE);
+    }
+    return move.phase() == MovePhase.HANDED_OVER
+        ? afterHandover(move, seen, timeoutS)
+        : beforeHandover(move, seen, timeoutS);
+  }
+
+  private static Step beforeHandover(Move move, Observation seen, double timeoutS) {
+    if (!seen.assignedTo.equals(move.from()) || !seen.term.equals(move.term())) {
+      return Step.abort(Reason.REASSIGNED);
+    }
+    if (!seen.ownerKnowsMoves) {
+      return Step.abort(Reason.EARLIER_VERSION);
+    }
+    if (seen.handedBack) {
+      return Step.of(Action.HAND_OVER);
+    }
+    if (seen.progress != null && seen.progress.state() == DrainState.NOTICED) {
+      return Step.abort(Reason.TERMINATION_NOTICE);
+    }
+    if (seen.progress != null && seen.progress.state() == DrainState.SILENT) {
+      return Step.abort(Reason.MACHINE_SILENT);
+    }
+    if (seen.ageS > timeoutS) {
+      return Step.abort(Reason.TIMEOUT);
+    }
+    boolean news = move.phase() == MovePhase.REQUESTED && seen.progress != null;
+    return news ? Step.of(Action.NOTE_DRAINING) : Step.STAY;
+  }
+
+  private static Step afterHandover(Move move, Observation seen, double timeoutS) {
+    if (!seen.assignedTo.equals(move.to())) {
+      return Step.abort(Reason.REASSIGNED);
+    }
+    if (seen.arrived) {
+      return Step.of(Action.FINISH);
+    }
+    return seen.ageS > ARRIVAL_FACTOR * timeoutS ? Step.abort(Reason.NOT_HEARD) : Step.STAY;
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/rebalance/ShareFleet.java
@@ -0,0 +1,85 @@
+package shorecrank.rebalance;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import shorecrank.protocol.CloudMessages.Offer;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Ids.Revision;
+import shorecrank.protocol.StoreMessages.Txn;
+
+/** Shards and machines as the leader knows them, and what shares may change of them. */
+public interface ShareFleet {
+  /**
+   * A machine and its assignment.
+   *
+   * @param cpus 0 while its type is not known
+   * @param order the order that its owner, or its new owner, is told; NONE if there is none
+   */
+  record FleetMachine(
+      HostName name, Offer offer, double cpus, PartId shard, Epoch term, MoveId order) {}
+
+  /** How many shards there are. */
+  int shards();
+
+  /** All machines that are assigned. */
+  Collection<FleetMachine> machines();
+
+  /** Machines of which an owner is told an order. */
+  List<HostName> ordered();
+
+  /** Null if the machine is not assigned. */
+  FleetMachine machine(HostName name);
+
+  /** The highest epoch that was minted for a shard. */
+  Epoch epoch(PartId shard);
+
+  /** The label of a shard's owner; empty if it has none. */
+  String owner(PartId shard);
+
+  /** Has an epoch above {@code least} minted for a shard's present owner. */
+  void raiseAbove(PartId shard, Epoch least);
+
+  /** The owner is to empty the machine and hand it back. */
+  void recall(HostName machine, MoveId order);
+
+  /** The owner may use the machine; the order that concerned it is over. */
+  void keep(HostName machine);
+
+  /** The new owner is to say when it hears the machine. */
+  void awaitArrival(HostName machine, MoveId order);
+
+  /** Assignments that are being written in a transaction; no others are until it is over. */
+  interface Handover {
+    /** The machines that it assigns: as many of those asked for as fit into a transaction. */
+    Set<HostName> machines();
+
+    /** How many changes it adds to the transaction. */
+    int operations();
+
+    /** Adds what assigns the machines. */
+    void addTo(Txn transaction);
+
+    /** The transaction was carried out. */
+    void committed(Revision at);
+
+    /**
+     * The transaction was not carried out, and never will be.
+     *
+     * @param conflict whether one of its guards failed
+     */
+    void refused(boolean conflict);
+  }
+
+  /**
+   * Prepares new assignments, under the epochs of their shards; null if none can be written now.
+   */
+  Handover prepare(Map<HostName, PartId> assignments);
+
+  /** Assignments may differ from what is known here: reads everything anew. */
+  void reload();
+}
--- /dev/null
+++ b/src/main/java/shorecrank/rebalance/ShareOrders.java
@@ -0,0 +1,300 @@
+package shorecrank.rebalance;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+import org.apache.commons.codec.digest.MurmurHash3;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.ShareMessages;
+import shorecrank.protocol.ShareMessages.AbortMoves;
+import shorecrank.protocol.ShareMessages.Move;
+import shorecrank.protocol.ShareMessages.MoveMachines;
+import shorecrank.protocol.ShareMessages.MovePhase;
+import shorecrank.protocol.ShareMessages.SetShare;
+import shorecrank.protocol.ShareMessages.ShareOrder;
+import shorecrank.protocol.ShareMessages.ShareOutcome;
+import shorecrank.protocol.ShareMessages.SharesState;
+import shorecrank.protocol.ShareMessages.TeamShare;
+import shorecrank.rebalance.ShareFleet.FleetMachine;
+
+/** Decides operators' orders: whether one can be carried out, what it changes, and what is said. */
+final class ShareOrders {
+  /** So many machines are named in an answer. */
+  private static final int MOST_NAMED = 20;
+
+  private final ShareFleet fleet;
+  private final TeamShares teams;
+  private final Function<PartId, List<HostName>> candidates;
+  private final IntSupplier mostActive;
+
+  /**
+   * @param candidates machines that a shard would give up first
+   * @param mostActive how many moves may be under way at the same time
+   */
+  ShareOrders(
+      ShareFleet fleet,
+      TeamShares teams,
+      Function<PartId, List<HostName>> candidates,
+      IntSupplier mostActive) {
+    this.fleet = fleet;
+    this.teams = teams;
+    this.candidates = candidates;
+    this.mostActive = mostActive;
+  }
+
+  /**
+   * What is made of an order.
+   *
+   * @param next what the key is to hold beside the outcome; null if it stays as it is
+   */
+  record Decision(SharesState next, ShareOutcome outcome) {}
+
+  /** An order can't be carried out; the message is the one line that says why. */
+  private static final class Refused extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Refused(String message) {
+      super(message, null, false, false);
+    }
+  }
+
+  /**
+   * Decides an order.
+   *
+   * @param againstMoves why no move may begin now; empty if one may
+   * @param wallMs the time of day
+   */
+  Decision decide(ShareOrder order, SharesState state, List<String> againstMoves, long wallMs) {
+    String content = digest(order);
+    for (ShareOutcome earlier : state.recentOrders()) {
+      if (earlier.id().equals(order.id())) {
+        boolean same = earlier.content().equals(content);
+        return same ? new Decision(null, earlier) : refused(order, content, idUsed(order));
+      }
+    }
+    try {
+      Decision decision = decided(order, content, state, againstMoves, wallMs);
+      return order.dryRun() ? new Decision(null, decision.outcome()) : decision;
+    } catch (Refused e) {
+      return refused(order, content, e.getMessage());
+    }
+  }
+
+  private static String idUsed(ShareOrder order) {
+    return "id %s was used for another order".formatted(order.id());
+  }
+
+  private static Decision refused(ShareOrder order, String content, String why) {
+    return new Decision(null, new ShareOutcome(order.id(), content, false, why, List.of()));
+  }
+
+  private static Decision accepted(
+      ShareOrder order, String content, SharesState next, String text, List<MoveId> moves) {
+    String said = order.dryRun() ? "dry run: " + text : text;
+    return new Decision(next, new ShareOutcome(order.id(), content, true, said, moves));
+  }
+
+  /** Of all that an order says but its id. */
+  private static String digest(ShareOrder order) {
+    byte[] bytes = Json.bytes(ShareMessages.write(order).without(List.of("id", "dryRun")));
+    long[] hash = MurmurHash3.hash128x64(bytes);
+    return "%016x".formatted(hash[0]);
+  }
+
+  private Decision decided(
+      ShareOrder order, String content, SharesState state, List<String> against, long wallMs)
+      throws Refused {
+    if (!against.isEmpty() && !(order instanceof AbortMoves)) {
+      throw new Refused(against.get(0));
+    }
+    if (order instanceof SetShare set) {
+      return set(set, content, state);
+    }
+    if (order instanceof MoveMachines move) {
+      return move(move, content, state, wallMs);
+    }
+    return abort((AbortMoves) order, content, state);
+  }
+
+  // ---- shares ----------------------------------------------------------------------------------
+
+  private Decision set(SetShare order, String content, SharesState state) throws Refused {
+    if (!teams.knows(order.team())) {
+      throw new Refused("unknown team " + order.team());
+    }
+    TeamShare now = teams.of(order.team(), state.teams());
+    TeamShare share =
+        new TeamShare(
+            order.team(),
+            amount("weight", order.weight(), now.weight()),
+            amount("min", order.minCpus(), now.minCpus()),
+            amount("max", order.maxCpus(), now.maxCpus()));
+    if (share.maxCpus() > 0 && share.minCpus() > share.maxCpus()) {
+      throw new Refused(
+          "min %s is above max %s".formatted(number(share.minCpus()), number(share.maxCpus())));
+    }
+    SharesState next = state.with(share);
+    checkWhole(next);
+    String text =
+        "team %s: weight %s, min %s, max %s"
+            .formatted(
+                share.team(),
+                number(share.weight()),
+                number(share.minCpus()),
+                share.maxCpus() > 0 ? number(share.maxCpus()) : "none");
+    return accepted(order, content, next, text, List.of());
+  }
+
+  private static double amount(String name, Double given, double now) throws Refused {
+    if (given == null) {
+      return now;
+    }
+    if (!(given >= 0 && given <= 1e9)) {
+      throw new Refused(name + " must be from 0 to 1000000000");
+    }
+    return given;
+  }
+
+  private void checkWhole(SharesState next) throws Refused {
+    List<TeamShare> all = teams.all(next.teams());
+    if (all.stream().allMatch(t -> t.weight() <= 0)) {
+      throw new Refused("weight must not be 0 for all teams");
+    }
+    double minimums = all.stream().mapToDouble(TeamShare::minCpus).sum();
+    double capacity = fleet.machines().stream().mapToDouble(FleetMachine::cpus).sum();
+    if (minimums > capacity) {
+      throw new Refused(
+          "minimums of all teams, %s, are above the capacity, %s"
+              .formatted(number(minimums), number(capacity)));
+    }
+  }
+
+  private static String number(double d) {
+    return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
+  }
+
+  // ---- moves -----------------------------------------------------------------------------------
+
+  private Decision move(MoveMachines order, String content, SharesState state, long wallMs)
+      throws Refused {
+    checkShard(order.to());
+    Set<HostName> chosen = order.machines().isEmpty() ? choose(order, state) : named(order, state);
+    int room = mostActive.getAsInt() - state.active().size();
+    if (chosen.size() > room) {
+      throw new Refused(
+          "%d machines are too many: %d moves are under way, and %d at the most"
+              .formatted(chosen.size(), state.active().size(), mostActive.getAsInt()));
+    }
+    List<Move> begun = new ArrayList<>();
+    for (HostName name : chosen) {
+      FleetMachine machine = fleet.machine(name);
+      MoveId id = new MoveId(state.nextMove() + begun.size());
+      begun.add(
+          new Move(
+              id,
+              name,
+              machine.shard(),
+              order.to(),
+              machine.term(),
+              MovePhase.REQUESTED,
+              order.id(),
+              wallMs,
+              ""));
+    }
+    String text = "%d machines move to %s: %s".formatted(begun.size(), order.to(), names(chosen));
+    List<MoveId> ids = begun.stream().map(Move::id).toList();
+    return accepted(order, content, state.withBegun(begun), text, ids);
+  }
+
+  private void checkShard(PartId shard) throws Refused {
+    if (shard.value() >= fleet.shards()) {
+      throw new Refused("unknown shard %s: there are %d".formatted(shard, fleet.shards()));
+    }
+  }
+
+  private static String names(Set<HostName> machines) {
+    List<String> some = machines.stream().limit(MOST_NAMED).map(HostName::value).toList();
+    int more = machines.size() - some.size();
+    return String.join(", ", some) + (more > 0 ? " and %d more".formatted(more) : "");
+  }
+
+  private Set<HostName> named(MoveMachines order, SharesState state) throws Refused {
+    Set<HostName> chosen = new LinkedHashSet<>();
+    for (HostName name : order.machines()) {
+      FleetMachine machine = fleet.machine(name);
+      if (machine == null) {
+        throw new Refused("unknown machine " + name);
+      }
+      Move other = state.moveOf(name);
+      if (other != null) {
+        throw new Refused("machine %s is moving already: %s".formatted(name, described(other)));
+      }
+      if (machine.shard().equals(order.to())) {
+        throw new Refused("machine %s is in shard %s already".formatted(name, order.to()));
+      }
+      chosen.add(name);
+    }
+    return chosen;
+  }
+
+  private static String described(Move move) {
+    String by = move.order().isEmpty() ? "by need" : "by order " + move.order();
+    return "move %s from %s to %s, %s".formatted(move.id(), move.from(), move.to(), by);
+  }
+
+  private Set<HostName> choose(MoveMachines order, SharesState state) throws Refused {
+    checkShard(order.from());
+    if (order.from().equals(order.to())) {
+      throw new Refused("shard %s can't give machines to itself".formatted(order.to()));
+    }
+    Set<HostName> chosen = new LinkedHashSet<>();
+    List<HostName> inOrder = new ArrayList<>(candidates.apply(order.from()));
+    fleet.machines().forEach(m -> inOrder.add(m.name()));
+    for (HostName name : inOrder) {
+      FleetMachine machine = fleet.machine(name);
+      boolean free =
+          machine != null && machine.shard().equals(order.from()) && state.moveOf(name) == null;
+      if (free && chosen.size() < order.count()) {
+        chosen.add(name);
+      }
+    }
+    if (chosen.size() < order.count()) {
+      throw new Refused(
+          "shard %s has %d machines that are not moving, not %d"
+              .formatted(order.from(), chosen.size(), order.count()));
+    }
+    return chosen;
+  }
+
+  // ---- abortion --------------------------------------------------------------------------------
+
+  private Decision abort(AbortMoves order, String content, SharesState state) throws Refused {
+    List<MoveId> ended = new ArrayList<>();
+    SharesState next = state;
+    boolean late = false;
+    for (Move move : state.active()) {
+      boolean meant =
+          order.all()
+              || move.id().equals(order.move())
+              || (!order.order().isEmpty() && move.order().equals(order.order()));
+      if (meant && move.phase() == MovePhase.HANDED_OVER) {
+        late = true;
+      } else if (meant) {
+        Move aborted = move.aborted(MoveRules.Reason.ORDERED.text());
+        next = next.withChanged(aborted, MoveCoordinator.KEPT_ENDED);
+        ended.add(move.id());
+      }
+    }
+    if (ended.isEmpty()) {
+      throw new Refused(
+          late ? "handed over already: move the machine back" : "no such move is under way");
+    }
+    return accepted(order, content, next, "%d moves aborted".formatted(ended.size()), ended);
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/rebalance/ShareSettings.java
@@ -0,0 +1,102 @@
+package shorecrank.rebalance;
+
+import com.google.protobuf.Message;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import shorecrank.config.NodeConfig;
+import shorecrank.config.TextProto;
+import shorecrank.config.TextProto.Field;
+import shorecrank.config.TextProto.Group;
+import shorecrank.protocol.ShareMessages.TeamShare;
+
+/**
+ * The operators' settings of shares, in protobuf text format.
+ *
+ * @param automatic whether machines move by need; if not, only on an operator's order
+ * @param movesAtOnce moves by need that are under way at the same time, at the most
+ * @param settleS for how long a shard must lack machines before one is moved to it
+ * @param restS for how long a machine that has moved stays where it is
+ * @param timeoutS after how long a move that is not over is given up
+ * @param tolerance by which share of its target a shard may lack or exceed it without a move
+ * @param teams the teams whose share differs from the default
+ */
+public record ShareSettings(
+    boolean automatic,
+    int movesAtOnce,
+    double settleS,
+    double restS,
+    double timeoutS,
+    double tolerance,
+    List<TeamShare> teams) {
+  private static final Field AUTOMATIC = Field.flag("automatic", true);
+  private static final Field MOVES_AT_ONCE = Field.number("moves_at_once", 1, 1000, 8);
+  private static final Field SETTLE_S = Field.number("settle_s", 0, 3600, 3);
+  private static final Field REST_S = Field.number("rest_s", 0, 86_400, 20);
+  private static final Field TIMEOUT_S = Field.number("move_timeout_s", 5, 86_400, 120);
+  private static final Field TOLERANCE = Field.number("tolerance", 0, 1, 0.1);
+  private static final List<Field> FIELDS =
+      List.of(AUTOMATIC, MOVES_AT_ONCE, SETTLE_S, REST_S, TIMEOUT_S, TOLERANCE);
+
+  private static final Field TEAM_NAME = Field.text("name");
+  private static final Field WEIGHT = Field.number("weight", 0, 1e6, 1);
+  private static final Field MIN_CPUS = Field.number("min_cpus", 0, 1e9, 0);
+  private static final Field MAX_CPUS = Field.number("max_cpus", 0, 1e9, 0);
+  private static final Group TEAM =
+      new Group("team", List.of(TEAM_NAME, WEIGHT, MIN_CPUS, MAX_CPUS));
+
+  /** A team of which nothing else is said. */
+  public static TeamShare defaultOf(String team) {
+    return new TeamShare(team, WEIGHT.unset(), MIN_CPUS.unset(), MAX_CPUS.unset());
+  }
+
+  /** Reads the file's text; what is not set has its default. */
+  public static ShareSettings read(String text) throws NodeConfig.Invalid {
+    Message message = TextProto.parse("Shares", FIELDS, List.of(TEAM), text);
+    return new ShareSettings(
+        AUTOMATIC.flagOf(message),
+        (int) MOVES_AT_ONCE.numberOf(message),
+        SETTLE_S.numberOf(message),
+        REST_S.numberOf(message),
+        TIMEOUT_S.numberOf(message),
+        TOLERANCE.numberOf(message),
+        teams(message));
+  }
+
+  private static List<TeamShare> teams(Message message) throws NodeConfig.Invalid {
+    List<TeamShare> teams = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (Message one : TEAM.of(message)) {
+      TeamShare team =
+          new TeamShare(
+              TEAM_NAME.textOf(one),
+              WEIGHT.numberOf(one),
+              MIN_CPUS.numberOf(one),
+              MAX_CPUS.numberOf(one));
+      if (team.team().isEmpty() || !names.add(team.team())) {
+        throw new NodeConfig.Invalid("team.name must be there, and once for each team");
+      }
+      if (team.maxCpus() > 0 && team.minCpus() > team.maxCpus()) {
+        throw new NodeConfig.Invalid("team.min_cpus must be at most max_cpus");
+      }
+      teams.add(team);
+    }
+    return List.copyOf(teams);
+  }
+
+  /** Fails unless the settings fit the platform's teams and the number of shards. */
+  public void check(NodeConfig config, int shards) throws NodeConfig.Invalid {
+    if (shards < 2) {
+      throw new NodeConfig.Invalid("shares need parts above 1 in the file of --settings");
+    }
+    for (TeamShare team : teams) {
+      if (!config.teams().containsKey(team.team())) {
+        throw new NodeConfig.Invalid("team.name " + team.team() + " is no team of the platform");
+      }
+    }
+    if (TeamShares.weightsSumToZero(config.teams().keySet(), teams)) {
+      throw new NodeConfig.Invalid("team.weight must not be 0 for all teams");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/shorecrank/rebalance/ShareTargets.java
@@ -0,0 +1,166 @@
+package shorecrank.rebalance;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.ShareMessages.ShardDemand;
+import shorecrank.rebalance.TeamShares.ShardShare;
+
+/**
+ * How many processors each shard should have of those there are. First come minimums, then what is
+ * within guarantees, then the rest of what is needed, by weight; what nobody needs stays where it
+ * is.
+ */
+final class ShareTargets {
+  /** Waiting work counts by its priority: of the highest first, then each half of the one above. */
+  private static final double[] PRIORITY_FACTORS = {8, 4, 2, 1};
+
+  /** After a job has waited so long without any task, its shard counts twice; up to the most. */
+  private static final double AGE_S = 60;
+
+  private static final double MAX_AGE_FACTOR = 4;
+  private static final double EPSILON = 1e-9;
+
+  private ShareTargets() {}
+
+  /**
+   * A shard's share, what it says of its need, and what it has.
+   *
+   * @param demand null if its owner is not heard: it then keeps what it has
+   */
+  record Claim(ShardShare share, ShardDemand demand, double present) {}
+
+  /**
+   * The targets, which sum up to the capacity.
+   *
+   * @param capacity processors of all machines that are assigned
+   */
+  static Map<PartId, Double> compute(double capacity, Map<PartId, Claim> claims) {
+    Map<PartId, Double> targets = new TreeMap<>();
+    claims.keySet().forEach(shard -> targets.put(shard, 0.0));
+    fill(targets, capacity, claims, claim -> lowest(claim));
+    fill(targets, capacity, claims, claim -> Math.max(lowest(claim), guaranteed(claim)));
+    fill(targets, capacity, claims, ShareTargets::needed);
+    leaveInPlace(targets, capacity, claims);
+    return targets;
+  }
+
+  private static double lowest(Claim claim) {
+    return Math.min(claim.share().minCpus(), claim.share().maxCpus());
+  }
+
+  private static double guaranteed(Claim claim) {
+    double within = claim.demand() == null ? claim.present() : claim.demand().guaranteed();
+    return Math.min(within, claim.share().maxCpus());
+  }
+
+  private static double needed(Claim claim) {
+    ShardDemand demand = claim.demand();
+    double need = demand == null ? claim.present() : demand.running() + demand.allWaiting();
+    return Math.max(lowest(claim), Math.min(need, claim.share().maxCpus()));
+  }
+
+  /** How a shard's need counts beside others': by its weight, and by what waits, and how long. */
+  private static double weight(Claim claim) {
+    ShardDemand demand = claim.demand();
+    if (demand == null) {
+      return claim.share().weight();
+    }
+    double waiting = demand.allWaiting();
+    double factor = 1;
+    if (waiting > EPSILON) {
+      double weighted = 0;
+      List<Double> byPriority = demand.waiting();
+      for (int i = 0; i < byPriority.size(); i++) {
+        weighted += byPriority.get(i) * priorityFactor(i);
+      }
+      factor = weighted / waiting;
+    }
+    double age = Math.min(MAX_AGE_FACTOR, 1 + demand.oldestWaitS() / AGE_S);
+    return claim.share().weight() * factor * age;
+  }
+
+  private static double priorityFactor(int rank) {
+    return PRIORITY_FACTORS[Math.min(rank, PRIORITY_FACTORS.length - 1)];
+  }
+
+  /** What a shard should reach before others get more. */
+  @FunctionalInterface
+  private interface Level {
+    double of(Claim claim);
+  }
+
+  /** Raises all targets to a level, by weight where there is not enough for it. */
+  private static void fill(
+      Map<PartId, Double> targets, double capacity, Map<PartId, Claim> claims, Level level) {
+    double left = capacity - sum(targets);
+    Map<PartId, Double> lacking = new HashMap<>();
+    claims.forEach(
+        (shard, claim) -> {
+          double lack = level.of(claim) - targets.get(shard);
+          if (lack > EPSILON) {
+            lacking.put(shard, lack);
+          }
+        });
+    while (left > EPSILON && !lacking.isEmpty()) {
+      left -= fillOnce(targets, left, lacking, claims);
+    }
+  }
+
+  /** Gives each its share of what is left, or all that it lacks; returns what was given. */
+  private static double fillOnce(
+      Map<PartId, Double> targets,
+      double left,
+      Map<PartId, Double> lacking,
+      Map<PartId, Claim> claims) {
+    double weights = 0;
+    for (PartId shard : lacking.keySet()) {
+      weights += weight(claims.get(shard));
+    }
+    double given = 0;
+    for (PartId shard : List.copyOf(lacking.keySet())) {
+      double part = weights > EPSILON ? weight(claims.get(shard)) / weights : 1.0 / lacking.size();
+      double lack = lacking.get(shard);
+      double gets = Math.min(lack, left * part);
+      targets.merge(shard, gets, Double::sum);
+      given += gets;
+      if (lack - gets <= EPSILON) {
+        lacking.remove(shard);
+      } else {
+        lacking.put(shard, lack - gets);
+      }
+    }
+    // Weights of zero beside others get nothing, and would be asked for ever.
+    if (given <= EPSILON) {
+      lacking.clear();
+    }
+    return given;
+  }
+
+  /** What nobody needs stays with those that have it, as far as their maximums go. */
+  private static void leaveInPlace(
+      Map<PartId, Double> targets, double capacity, Map<PartId, Claim> claims) {
+    double left = capacity - sum(targets);
+    for (Map.Entry<PartId, Claim> e : claims.entrySet()) {
+      double most = Math.min(e.getValue().present(), e.getValue().share().maxCpus());
+      double stays = Math.max(0, Math.min(left, most - targets.get(e.getKey())));
+      targets.merge(e.getKey(), stays, Double::sum);
+      left -= stays;
+    }
+    if (left <= EPSILON) {
+      return;
+    }
+    double weights = claims.values().stream().mapToDouble(c -> c.share().weight()).sum();
+    for (Map.Entry<PartId, Claim> e : claims.entrySet()) {
+      double part =
+          weights > EPSILON ? e.getValue().share().weight() / weights : 1.0 / claims.size();
+      targets.merge(e.getKey(), left * part, Double::sum);
+    }
+  }
+
+  private static double sum(Map<PartId, Double> targets) {
+    return targets.values().stream().mapToDouble(Double::doubleValue).sum();
+  }
+}
--- a/src/main/java/shorecrank/rollout/ArchiveKeys.java
+++ b/src/main/java/shorecrank/rollout/ArchiveKeys.java
@@ -29,7 +29,7 @@
    * and are of no use later, and archives themselves.
    */
   public static final List<String> PREFIXES =
-      List.of("catalog", "epoch", "f/", "hosts/", "j/", "part/", "rollout");
+      List.of("catalog", "epoch", "f/", "hosts/", "j/", "part/", "rollout", "shares");
 
   /** An archive's index entry; {@code chunks} counts those written so far. */
   public record IndexEntry(String id, boolean complete, int chunks, long bytes) {
--- a/src/main/java/shorecrank/rollout/Feature.java
+++ b/src/main/java/shorecrank/rollout/Feature.java
@@ -6,6 +6,8 @@
 import java.util.stream.Stream;
 import shorecrank.protocol.RolloutMessages.FeatureLevel;
 import shorecrank.protocol.RolloutMessages.LevelRange;
+import shorecrank.protocol.ShareMessages;
+import shorecrank.protocol.ShareMessages.SharesState;
 import shorecrank.storage.JobRecord;
 
 /**
@@ -20,7 +22,10 @@
   PROTECTED_LEADERSHIP(1, "", null),
 
   /** Job records in the dense form ({@link JobRecord#writeDense}). */
-  DENSE_RECORDS(1, JobRecord.LIVE, new DenseRecords());
+  DENSE_RECORDS(1, JobRecord.LIVE, new DenseRecords()),
+
+  /** Moves of machines between shards, which {@link ShareMessages#KEY} holds. */
+  SHARES(2, ShareMessages.KEY, new SharesWithoutMoves());
 
   /** How one stored form is found and put back into the forms of the level below. */
   interface Downgrade {
@@ -49,10 +54,19 @@
     return level;
   }
 
-  /** The levels that this build supports. */
-  public static LevelRange supported() {
+  /**
+   * The levels that a controller of this build supports.
+   *
+   * @param shares whether shares are enabled on it: a leader without them would not go on with the
+   *     moves that an earlier one has written down
+   */
+  public static LevelRange supported(boolean shares) {
     FeatureLevel highest =
-        Stream.of(values()).map(Feature::level).max(FeatureLevel::compareTo).orElseThrow();
+        Stream.of(values())
+            .filter(f -> shares || f != SHARES)
+            .map(Feature::level)
+            .max(FeatureLevel::compareTo)
+            .orElseThrow();
     return new LevelRange(FeatureLevel.LOWEST, highest);
   }
 
@@ -72,6 +86,21 @@
     return downgrade;
   }
 
+  /** Moves that are under way end with the level; what operators have set stays. */
+  private static final class SharesWithoutMoves implements Downgrade {
+    @Override
+    public boolean applies(JsonNode value) {
+      SharesState state = ShareMessages.readState(value);
+      return state != null && !state.active().isEmpty();
+    }
+
+    @Override
+    public List<ObjectNode> earlierForms(JsonNode value) {
+      SharesState state = ShareMessages.readState(value);
+      return state == null ? List.of() : List.of(ShareMessages.write(state.withActive(List.of())));
+    }
+  }
+
   private static final class DenseRecords implements Downgrade {
     @Override
     public boolean applies(JsonNode value) {
--- a/src/main/java/shorecrank/rollout/RolloutCoordinator.java
+++ b/src/main/java/shorecrank/rollout/RolloutCoordinator.java
@@ -117,6 +117,11 @@
     return votes.settingsDiffer(label) ? "its shared settings differ from the leader's" : null;
   }
 
+  /** Controllers of the fleet that were heard and don't support a level. */
+  public List<NodeLabel> unsupporting(FeatureLevel level) {
+    return votes.unsupporting(level);
+  }
+
   /** Once a round. */
   public void tick() {
     if (leadership.leading() && !leadership.term().equals(term)) {
--- a/src/main/java/shorecrank/rollout/RolloutSettings.java
+++ b/src/main/java/shorecrank/rollout/RolloutSettings.java
@@ -1,6 +1,6 @@
 package shorecrank.rollout;
 
-import com.google.protobuf.DynamicMessage;
+import com.google.protobuf.Message;
 import java.util.List;
 import shorecrank.config.NodeConfig;
 import shorecrank.config.TextProto;
@@ -29,7 +29,7 @@
 
   /** Reads the file's text; what is not set has its default. */
   public static RolloutSettings read(String text) throws NodeConfig.Invalid {
-    DynamicMessage message =
+    Message message =
         TextProto.parse(
             "Rollout", List.of(AUTOMATIC, SETTLE_S, REWRITES_PER_S, ARCHIVE, ARCHIVES_KEPT), text);
     return new RolloutSettings(
--- a/src/main/java/shorecrank/rollout/RolloutSetup.java
+++ b/src/main/java/shorecrank/rollout/RolloutSetup.java
@@ -7,9 +7,14 @@
 /** Rollouts, as enabled on one controller. */
 public record RolloutSetup(RolloutSettings settings, Announcement announcement) {
 
-  /** Of this build, with the levels that it supports. */
-  public static RolloutSetup of(RolloutSettings settings, String build, Tuning tuning) {
-    return of(settings, build, tuning, Feature.supported());
+  /**
+   * Of this build, with the levels that it supports.
+   *
+   * @param shares whether shares are enabled too
+   */
+  public static RolloutSetup of(
+      RolloutSettings settings, String build, Tuning tuning, boolean shares) {
+    return of(settings, build, tuning, Feature.supported(shares));
   }
 
   /** Of a build that supports certain levels. */
--- a/src/main/java/shorecrank/rollout/SupportVotes.java
+++ b/src/main/java/shorecrank/rollout/SupportVotes.java
@@ -70,6 +70,13 @@
     return vote == null ? null : vote.announcement;
   }
 
+  /** Members that were heard and have not announced that they support a level. */
+  List<NodeLabel> unsupporting(FeatureLevel level) {
+    return members.stream()
+        .filter(label -> votes.containsKey(label) && !supported(label).supports(level))
+        .toList();
+  }
+
   /** How long a controller has not been heard; negative if never under this leader. */
   long heardMsAgo(NodeLabel label, MonotonicTime now) {
     Vote vote = votes.get(label);
--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import shorecrank.protocol.Ids.HostName;
 import shorecrank.storage.JobRecord;
 
 /** Watches the rules at every step, from outside the service. */
@@ -94,6 +95,17 @@
     }
   }
 
+  /** Never may two processes command the same machine, as owners of whichever shards. */
+  void oneCommander(World.Node node) {
+    for (HostName machine : node.commandedMachines()) {
+      for (World.Node other : world.nodes) {
+        if (other != node && other.commandedMachines().contains(machine)) {
+          broken("two_commanders: %s at %s and %s".formatted(machine, node.label, other.label));
+        }
+      }
+    }
+  }
+
   void trouble(long until) {
     troublesOver = Math.max(troublesOver, until);
   }
--- a/src/test/java/shorecrank/sim/Rollouts.java
+++ b/src/test/java/shorecrank/sim/Rollouts.java
@@ -115,7 +115,8 @@
     if (!enabled()) {
       return null;
     }
-    Version version = next.getOrDefault(node.index, new Version(Feature.supported()));
+    Version version =
+        next.getOrDefault(node.index, new Version(Feature.supported(world.shares.enabled())));
     if (!version.equals(running.get(node.index))) {
       runningSince.put(node.index, world.sim.now);
     }
@@ -126,6 +127,12 @@
         : RolloutSetup.of(settings, build, tuning(node), version.supported());
   }
 
+  /** Whether the version that a controller runs knows of shares, and has them enabled. */
+  boolean knowsShares(Node node) {
+    Version version = running.get(node.index);
+    return version != null && version.supports(Feature.SHARES.level());
+  }
+
   private boolean readsDense(Node node) {
     return !enabled()
         || running.get(node.index) == null
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -172,6 +172,8 @@
         case "seeds" -> {}
         // rollout SETTING: VALUE, as in the operators' file; several lines are one file.
         case "rollout" -> rolloutFile.append(l.substring("rollout".length())).append('\n');
+        // shares SETTING: VALUE, as in the operators' file; several lines are one file.
+        case "shares" -> w.shares.line(l.substring("shares".length()));
         // levels N0,N1,...: what each controller supports at first.
         case "levels" -> {
           String[] each = a[1].split(",");
@@ -224,6 +226,10 @@
     if (w.teamMax.isEmpty()) {
       w.teamMax.put("t", 0.0);
     }
+    if (w.shares.enabled() && rolloutFile.isEmpty()) {
+      // Shares need the feature level; most scenarios are about what comes after.
+      rolloutFile.append("automatic: true settle_s: 1 archive_before_raise: false");
+    }
     if (!rolloutFile.isEmpty()) {
       w.rollouts.enable(rolloutFile.toString());
     }
@@ -396,6 +402,9 @@
         OrderKind kind = OrderKind.valueOf(a[3].toUpperCase(java.util.Locale.ROOT));
         who(w, a[1]).forEach(n -> w.rollouts.order(n.index, a[2], kind, level));
       }
+      // share-order WHO ID set|move|abort key=value…: an operator's order, until it is answered.
+      case "share-order" ->
+          who(w, a[1]).forEach(n -> w.shares.order(n.index, a[2], a[3], options(a, 4)));
       // settings WHO SETTING: VALUE, from its next start on.
       case "settings" -> {
         String text = line.substring(line.indexOf(a[1], line.indexOf("settings")) + a[1].length());
@@ -465,6 +474,13 @@
       }
       return;
     }
+    Boolean ofShares = w.shares.holds(a);
+    if (ofShares != null) {
+      if (!ofShares) {
+        failures.add("not so: " + line + " " + w.shares);
+      }
+      return;
+    }
     boolean ok =
         switch (a[1]) {
           case "done", "withdrawn" ->
--- /dev/null
+++ b/src/test/java/shorecrank/sim/Shares.java
@@ -0,0 +1,274 @@
+package shorecrank.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shorecrank.config.NodeConfig;
+import shorecrank.protocol.Ids.HostName;
+import shorecrank.protocol.Ids.MoveId;
+import shorecrank.protocol.Ids.PartId;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.ShareMessages;
+import shorecrank.protocol.ShareMessages.AbortMoves;
+import shorecrank.protocol.ShareMessages.Move;
+import shorecrank.protocol.ShareMessages.MoveMachines;
+import shorecrank.protocol.ShareMessages.MovePhase;
+import shorecrank.protocol.ShareMessages.SetShare;
+import shorecrank.protocol.ShareMessages.ShareOrder;
+import shorecrank.protocol.ShareMessages.SharesState;
+import shorecrank.rebalance.ShareSettings;
+import shorecrank.sim.World.Node;
+
+/**
+ * Shares in a scenario: their settings, operators' orders and what came of them, and the rule that
+ * an assignment changes together with a move that was written down before.
+ */
+final class Shares {
+  private static final long ORDER_RETRY_MS = 1000;
+  private static final long ORDER_TIMEOUT_MS = 4000;
+  private static final long ORDER_GIVEN_UP_MS = 90_000;
+
+  private final World world;
+  private final StringBuilder file = new StringBuilder();
+  private ShareSettings settings;
+
+  /** Answers to operators' orders, by order id. */
+  final Map<String, List<JsonNode>> outcomes = new TreeMap<>();
+
+  /** What controllers have counted, by metric. */
+  final Map<String, Long> counts = new TreeMap<>();
+
+  Shares(World world) {
+    this.world = world;
+  }
+
+  /** A line of the operators' file. */
+  void line(String text) {
+    file.append(text).append('\n');
+  }
+
+  boolean enabled() {
+    return !file.isEmpty();
+  }
+
+  /** The settings with which a controller starts; null for a version without shares. */
+  ShareSettings start(Node node) {
+    if (!enabled() || !world.rollouts.knowsShares(node)) {
+      return null;
+    }
+    if (settings == null) {
+      try {
+        settings = ShareSettings.read(file.toString());
+      } catch (NodeConfig.Invalid e) {
+        throw new IllegalArgumentException(e);
+      }
+    }
+    return settings;
+  }
+
+  void count(String metric, long by) {
+    if (metric.startsWith("shares.") || metric.startsWith("foreign.")) {
+      counts.merge(metric, by, Long::sum);
+    }
+  }
+
+  SharesState state() {
+    JsonNode value = world.store.peek(ShareMessages.KEY);
+    SharesState state = value.isMissingNode() ? null : ShareMessages.readState(value);
+    return state == null ? SharesState.INITIAL : state;
+  }
+
+  /** Machines by shard, as the state service has them. */
+  Map<Integer, List<String>> assigned() {
+    Map<Integer, List<String>> byShard = new TreeMap<>();
+    for (String key : world.store.keys("hosts/")) {
+      for (JsonNode m : world.store.peek(key).path("m")) {
+        int shard = m.path(4).asInt();
+        byShard.computeIfAbsent(shard, s -> new ArrayList<>()).add(m.path(0).asText());
+      }
+    }
+    return byShard;
+  }
+
+  // ---- rules -----------------------------------------------------------------------------------
+
+  /** Called before a transaction is applied, with what it writes. */
+  void applying(JsonNode operations) {
+    if (!enabled()) {
+      return;
+    }
+    SharesState before = state();
+    SharesState after = before;
+    for (JsonNode o : operations) {
+      if (o.path("write").asText().equals(ShareMessages.KEY)) {
+        after = ShareMessages.readState(o.path("data"));
+      }
+    }
+    if (after == null) {
+      world.checker.broken("shares_unreadable: written by a controller");
+      return;
+    }
+    for (Move move : after.active()) {
+      Move earlier = before.moveOf(move.machine());
+      boolean same = earlier != null && earlier.id().equals(move.id());
+      if (!same && move.id().value() < before.nextMove()) {
+        world.checker.broken("move_id_reused: " + move.id());
+      }
+      if (same && move.phase().compareTo(earlier.phase()) < 0) {
+        world.checker.broken("move_went_back: " + move.id() + " to " + move.phase());
+      }
+    }
+    Map<Integer, List<String>> now = assigned();
+    for (JsonNode o : operations) {
+      if (o.path("write").asText().startsWith("hosts/")) {
+        for (JsonNode m : o.path("data").path("m")) {
+          assignment(m, now, before, after);
+        }
+      }
+    }
+  }
+
+  /** Only a move that hands the machine over changes the assignment, in the same transaction. */
+  private void assignment(
+      JsonNode m, Map<Integer, List<String>> now, SharesState before, SharesState after) {
+    String name = m.path(0).asText();
+    int shard = m.path(4).asInt();
+    now.forEach(
+        (was, names) -> {
+          if (was == shard || !names.contains(name)) {
+            return;
+          }
+          Move move = after.moveOf(new HostName(name));
+          Move earlier = before.moveOf(new HostName(name));
+          boolean handedOver =
+              move != null
+                  && earlier != null
+                  && move.phase() == MovePhase.HANDED_OVER
+                  && earlier.phase() != MovePhase.HANDED_OVER
+                  && move.from().value() == was
+                  && move.to().value() == shard;
+          if (!handedOver) {
+            world.checker.broken("moved_unwritten: " + name + " from " + was + " to " + shard);
+          }
+        });
+  }
+
+  // ---- orders ----------------------------------------------------------------------------------
+
+  /** share-order WHO ID set|move|abort key=value…, sent until it is answered. */
+  void order(int index, String id, String kind, Map<String, String> o) {
+    ShareOrder order = order(id, kind, o);
+    send(index, order, world.sim.now + ORDER_GIVEN_UP_MS);
+  }
+
+  private static ShareOrder order(String id, String kind, Map<String, String> o) {
+    boolean dryRun = o.containsKey("dry-run");
+    return switch (kind) {
+      case "set" ->
+          new SetShare(
+              id, dryRun, o.get("team"), amount(o, "weight"), amount(o, "min"), amount(o, "max"));
+      case "move" -> {
+        List<HostName> machines =
+            o.containsKey("machines")
+                ? Arrays.stream(o.get("machines").split(",")).map(HostName::new).toList()
+                : List.of();
+        PartId from = o.containsKey("from") ? shard(o.get("from")) : null;
+        int count = Integer.parseInt(o.getOrDefault("count", "0"));
+        yield new MoveMachines(id, dryRun, machines, from, count, shard(o.get("to")));
+      }
+      default ->
+          new AbortMoves(
+              id,
+              dryRun,
+              new MoveId(Long.parseLong(o.getOrDefault("move", "0"))),
+              o.getOrDefault("of", ""),
+              o.containsKey("all"));
+    };
+  }
+
+  private static PartId shard(String text) {
+    return new PartId(Integer.parseInt(text));
+  }
+
+  private static Double amount(Map<String, String> o, String key) {
+    return o.containsKey(key) ? Double.valueOf(o.get(key)) : null;
+  }
+
+  private void send(int index, ShareOrder order, long until) {
+    if (world.sim.now > until) {
+      return;
+    }
+    boolean[] over = new boolean[1];
+    Runnable again =
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            int other = (index + 1) % world.nodes.size();
+            world.sim.after(ORDER_RETRY_MS, () -> send(other, order, until));
+          }
+        };
+    world.sim.after(ORDER_TIMEOUT_MS, again);
+    ObjectNode body = ShareMessages.write(order);
+    world.request(
+        world.nodes.get(index),
+        true,
+        "POST",
+        ShareMessages.ORDERS,
+        body,
+        (status, answer) -> {
+          if (over[0]) {
+            return;
+          }
+          if (status == 200 || status == 409 || status == 400) {
+            over[0] = true;
+            outcomes.computeIfAbsent(order.id(), k -> new ArrayList<>()).add(answer);
+          } else {
+            again.run();
+          }
+        });
+  }
+
+  /** What an {@code expect} line about shares asks; null if it is none. */
+  Boolean holds(String[] a) {
+    return switch (a[1]) {
+      // share SHARD LEAST MOST: machines.
+      case "share" -> {
+        int n = assigned().getOrDefault(Integer.parseInt(a[2]), List.of()).size();
+        yield n >= Integer.parseInt(a[3]) && n <= Integer.parseInt(a[4]);
+      }
+      // counted METRIC LEAST MOST, by all controllers together.
+      case "counted" -> {
+        long n = counts.getOrDefault(a[2], 0L);
+        yield n >= Long.parseLong(a[3]) && n <= Long.parseLong(a[4]);
+      }
+      case "moving" -> state().active().size() == Integer.parseInt(a[2]);
+      case "share-order" -> orderIs(a);
+      default -> null;
+    };
+  }
+
+  /** expect share-order ID accepted|refused [words that its text holds]. */
+  private boolean orderIs(String[] a) {
+    List<JsonNode> answers = outcomes.getOrDefault(a[2], List.of());
+    String text = String.join(" ", Arrays.copyOfRange(a, 4, a.length));
+    boolean accepted = a[3].equals("accepted");
+    return !answers.isEmpty()
+        && answers.stream()
+            .allMatch(
+                n -> n.path("accepted").asBoolean() == accepted && n.toString().contains(text));
+  }
+
+  @Override
+  public String toString() {
+    return Json.object()
+        .put("state", ShareMessages.write(state()).toString())
+        .put("assigned", assigned().toString())
+        .put("counts", counts.toString())
+        .put("outcomes", outcomes.toString())
+        .toString();
+  }
+}
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -16,6 +16,7 @@
 import shorecrank.coordination.Input;
 import shorecrank.coordination.Output;
 import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.WriterId;
@@ -105,7 +106,7 @@
       life++;
       RolloutSetup setup = rollouts.start(this);
       WriterId writer = new WriterId(label + "." + life);
-      core = new Core(config(this), rollouts.tuning(this), writer, setup);
+      core = new Core(config(this), rollouts.tuning(this), writer, setup, shares.start(this));
       int mine = life;
       sim.after(20 + sim.random.nextInt(50), () -> tick(mine));
     }
@@ -132,6 +133,9 @@
       }
       step(new Input.Tick(() -> false));
       checker.oneOwner(this);
+      if (tuning.parts() > 1) {
+        checker.oneCommander(this);
+      }
       rollouts.check(this);
       rounds += core.owned().size();
       sim.after(50, () -> tick(mine));
@@ -175,6 +179,11 @@
       return new MonotonicTime((long) (sim.now * clock) + clockOffset);
     }
 
+    /** The machines that it may command now. */
+    Set<HostName> commandedMachines() {
+      return up ? core.commandedMachines(steady()) : Set.of();
+    }
+
     /** The epochs of the shards that it may command now. */
     Map<PartId, Epoch> commanded() {
       return up ? core.commanded(steady()) : Map.of();
@@ -200,6 +209,7 @@
           if (n.metric().equals("round.looks")) {
             looks += n.by();
           }
+          shares.count(n.metric(), n.by());
         } else if (o instanceof Output.Log l) {
           if (verbose) {
             System.out.printf("%9.3f %s %s%n", sim.now / 1000.0, label, l.text());
@@ -233,6 +243,7 @@
   final CloudSim cloud;
   final Users users;
   final Rollouts rollouts;
+  final Shares shares;
   final List<Node> nodes = new ArrayList<>();
   final Map<String, Worker> workers = new TreeMap<>();
   final Map<String, TypePlan> types = new TreeMap<>();
@@ -312,7 +323,12 @@
     this.cloud = new CloudSim(this);
     this.users = new Users(this);
     this.rollouts = new Rollouts(this);
-    this.store.beforeApply = rollouts::applying;
+    this.shares = new Shares(this);
+    this.store.beforeApply =
+        operations -> {
+          rollouts.applying(operations);
+          shares.applying(operations);
+        };
   }
 
   int index(String label) {
