--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -98,6 +98,11 @@
   /** Never may two processes command the same machine, as owners of whichever shards. */
   void oneCommander(World.Node node) {
     for (HostName machine : node.commandedMachines()) {
+      Worker worker = world.workers.get(machine.value());
+      if (worker == null || worker.dead) {
+        // Gone: a list that lags may bring its name back.
+        continue;
+      }
       for (World.Node other : world.nodes) {
         if (other != node && other.commandedMachines().contains(machine)) {
           broken("two_commanders: %s at %s and %s".formatted(machine, node.label, other.label));
--- a/src/test/java/shorecrank/sim/Scenario.java
+++ b/src/test/java/shorecrank/sim/Scenario.java
@@ -182,6 +182,7 @@
           }
         }
         case "mix-rollout" -> boots.add(() -> new RolloutMix(this, w).draw(a));
+        case "mix-shares" -> boots.add(() -> new SharesMix(this, w).draw(a));
         case "mix" ->
             boots.add(
                 () ->
@@ -310,6 +311,10 @@
     if (s.equals("all")) {
       return w.nodes;
     }
+    if (s.startsWith("owner-of-")) {
+      Node owner = w.owner(Integer.parseInt(s.substring("owner-of-".length())));
+      return owner == null ? List.of() : List.of(owner);
+    }
     Node n =
         switch (s) {
           case "leader" -> w.leader();
--- /dev/null
+++ b/src/test/java/shorecrank/sim/SharesMix.java
@@ -0,0 +1,112 @@
+package shorecrank.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Orders that move machines all the time, and troubles at the steps of those moves, all drawn from
+ * the seed.
+ */
+final class SharesMix {
+  private static final double ORDER_EVERY_S = 2;
+
+  /** Moves whose steps may meet a trouble: those numbered from 1 to here. */
+  private static final int MOVES = 24;
+
+  /** What a leader logs as a move goes from step to step. */
+  private static final String[] STEPS = {
+    "move requested id=", "move draining id=", "move handed_over id=", "move done id="
+  };
+
+  private final Scenario scenario;
+  private final World world;
+  private final SplittableRandom random;
+  private int orders;
+
+  SharesMix(Scenario scenario, World world) {
+    this.scenario = scenario;
+    this.world = world;
+    this.random = world.sim.random.split();
+  }
+
+  /** {@code mix-shares COUNT FROM TO}: so many troubles, with orders all the while. */
+  void draw(String[] a) {
+    int count = Integer.parseInt(a[1]);
+    double from = Double.parseDouble(a[2]);
+    double to = Double.parseDouble(a[3]);
+    for (double at = from; at < to; at += ORDER_EVERY_S * (0.5 + random.nextDouble())) {
+      world.sim.at((long) (at * 1000), this::orderMove);
+    }
+    for (int i = 0; i < count; i++) {
+      String step = STEPS[random.nextInt(STEPS.length)] + (1 + random.nextInt(MOVES)) + " ";
+      List<String> lines = List.of(trouble().split(";"));
+      world.onLog.put(step, () -> lines.forEach(line -> scenario.act(world, line)));
+    }
+  }
+
+  /** Moves up to three machines, wherever they are, to a shard; some at once through two nodes. */
+  private void orderMove() {
+    List<String> machines = new ArrayList<>(world.workers.keySet());
+    if (machines.isEmpty()) {
+      return;
+    }
+    List<String> chosen = new ArrayList<>();
+    for (int i = 0; i <= random.nextInt(3); i++) {
+      chosen.add(machines.get(random.nextInt(machines.size())));
+    }
+    String names = String.join(",", chosen.stream().distinct().toList());
+    orderTo(names);
+    if (random.nextInt(4) == 0) {
+      orderTo(names);
+    }
+    if (random.nextInt(6) == 0) {
+      scenario.act(world, "share-order " + node() + " o" + ++orders + " abort all");
+    }
+  }
+
+  private void orderTo(String names) {
+    int to = random.nextInt(world.tuning.parts());
+    String order = "share-order %s o%d move machines=%s to=%d";
+    scenario.act(world, order.formatted(node(), ++orders, names, to));
+  }
+
+  private String node() {
+    return "n" + random.nextInt(world.nodes.size());
+  }
+
+  private String who() {
+    return switch (random.nextInt(5)) {
+      case 0 -> "leader";
+      case 1, 2, 3 -> "owner-of-" + random.nextInt(world.tuning.parts());
+      default -> node();
+    };
+  }
+
+  private String machine() {
+    return "n-%06d".formatted(1 + random.nextInt(12));
+  }
+
+  private String trouble() {
+    String s = "" + (1 + random.nextInt(12));
+    String mode = new String[] {"drop", "hold", "refuse"}[random.nextInt(3)];
+    String back = random.nextInt(2) == 0 ? "0.3" : "" + (1 + random.nextInt(5));
+    return switch (random.nextInt(18)) {
+      case 0, 1, 2 -> "crash " + who() + " " + back;
+      case 3, 4 -> "freeze " + who() + " " + s;
+      case 5 -> "cut " + who() + " state " + s + " " + mode;
+      case 6 -> "cut " + who() + " peers " + s + " " + mode;
+      case 7 -> "cut " + who() + " workers " + s + " " + mode;
+      case 8 -> "cut leader state " + s + " hold;cut leader peers " + s + " hold";
+      case 9 -> "late-writes 1 2";
+      case 10 -> "late-writes 0.6 5";
+      case 11 -> "late-writes 1 2 at-once";
+      case 12 -> "crash all " + back;
+      case 13 -> "copies 8 30";
+      case 14 -> "copies-for-next 6;crash leader 0.3";
+      case 15 -> "hang " + machine() + " " + s;
+      case 16 -> random.nextInt(2) == 0 ? "take " + machine() : "notice " + machine() + " 8";
+      default -> "cancel-now 2;outage state " + s;
+    };
+  }
+}
