--- /dev/null
+++ b/src/main/java/shorecrank/coordination/Preemption.java
@@ -0,0 +1,151 @@
+package shorecrank.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import shorecrank.config.NodeConfig;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.protocol.CloudMessages.HostType;
+import shorecrank.protocol.Ids.Attempt;
+import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.JobSpec;
+import shorecrank.protocol.WorkerMessages.TaskState;
+
+/** Stops tasks of lower priority for jobs whose users wait for the start. */
+final class Preemption {
+  /** Others' work that may be thrown away for a task, as a share of its own. */
+  private static final double WORTH = 0.5;
+
+  private final Ports ports;
+  private final ShardOwner owner;
+  private final SchedulingQueue queue;
+
+  Preemption(Ports ports, ShardOwner owner, SchedulingQueue queue) {
+    this.ports = ports;
+    this.owner = owner;
+    this.queue = queue;
+  }
+
+  /**
+   * Users wait for the start of such a job, so it does not wait for others' ends; but while its aim
+   * leaves time for the command and the image, room may yet come free by itself.
+   */
+  boolean wanted(Job j) {
+    if (queue.hasAims(j.spec) && !queue.waitsForStart(j.spec)) {
+      return false;
+    }
+    if (!queue.hasAims(j.spec)) {
+      return j.priority.compareTo(JobSpec.Priority.URGENT) <= 0;
+    }
+    double aim = Double.MAX_VALUE;
+    double age = j.readyS(ports.wallMs());
+    for (NodeConfig.Objective o : ports.config.objectives()) {
+      if (o.kind().equals("wait") && o.jobClass().equals(j.spec.jobClass()) && o.withinS() > age) {
+        aim = Math.min(aim, o.withinS());
+      }
+    }
+    if (aim == Double.MAX_VALUE) {
+      // Too late to start in time: nothing is won by what others would lose.
+      return false;
+    }
+    double fetch = 0;
+    for (HostType t : owner.catalog().values()) {
+      fetch = Math.max(fetch, j.spec.imageGb() / Math.max(0.01, t.fetchGbPerS()));
+    }
+    return age > aim - fetch - 1.25 * ports.config.workers().reportS() - 2;
+  }
+
+  /**
+   * Makes room by stopping tasks of lower priority that lose the least by it. Only such as exit at
+   * once when stopped: the stop goes before the start in one answer, and so the start finds room.
+   */
+  boolean makeRoom(Job j, int wanted, int from, String onlyZone) {
+    boolean placed = false;
+    String zone = onlyZone;
+    int index = from;
+    double mayCost = WORTH * j.spec.cpus() * Math.max(1, j.spec.estimateS());
+    while (wanted > 0 && j.rangesLeft > 0) {
+      Host best = null;
+      List<LiveTask> victims = List.of();
+      double bestCost = Double.MAX_VALUE;
+      for (Host h : owner.hosts.values()) {
+        if (!owner.usable(h)
+            || !h.allowed(j.spec)
+            || j.failedOn.contains(h.name)
+            || (zone != null && !zone.equals(h.info.zone()))) {
+          continue;
+        }
+        List<LiveTask> v = victims(h, j);
+        if (v.isEmpty()) {
+          continue;
+        }
+        double thrownAway = 0;
+        for (LiveTask t : v) {
+          thrownAway += t.lost(ports.now()) * t.job.spec.cpus();
+        }
+        double c =
+            h.fetchSeconds(j.spec)
+                + h.toldInS(ports.now(), ports.config.workers().reportS())
+                + thrownAway / j.spec.cpus();
+        if (c < bestCost && thrownAway <= mayCost) {
+          best = h;
+          bestCost = c;
+          victims = v;
+        }
+      }
+      if (best == null) {
+        return placed;
+      }
+      index = j.nextQueued(index);
+      if (index < 0) {
+        return placed;
+      }
+      for (LiveTask t : victims) {
+        t.revoked = true;
+        best.yield(t);
+      }
+      ports.count("task.preempted");
+      victims.forEach(t -> ports.count("task.preempted.ms", (long) (t.lost(ports.now()) * 1000)));
+      Attempt attempt = new Attempt(++j.tries);
+      j.rangesLeft--;
+      owner.attach(new LiveTask(j, index, best, best.tenure, attempt, j.seq + 1, ports.now()));
+      placed = true;
+      wanted--;
+      if (j.spec.oneZone()) {
+        zone = best.info.zone();
+      }
+    }
+    return placed;
+  }
+
+  /** The cheapest tasks of lower priority whose end makes room for one task; empty if none do. */
+  private List<LiveTask> victims(Host h, Job j) {
+    List<LiveTask> can = new ArrayList<>();
+    for (LiveTask t : h.live) {
+      if (!t.revoked
+          && t.committed()
+          && t.job.claimed
+          && t.state != TaskState.FLUSHING
+          && t.job.spec.checkpointS() <= 0
+          && t.job.priority.compareTo(j.priority) > 0) {
+        can.add(t);
+      }
+    }
+    MonotonicTime now = ports.now();
+    can.sort(Comparator.<LiveTask>comparingDouble(t -> t.lost(now)).thenComparingInt(t -> t.index));
+    List<LiveTask> take = new ArrayList<>();
+    double cpus = 0;
+    double gpus = 0;
+    double memory = 0;
+    for (LiveTask t : can) {
+      take.add(t);
+      cpus += t.job.spec.cpus();
+      gpus += t.job.spec.gpus();
+      memory += t.job.spec.memoryGb();
+      if (h.fitsWith(j.spec, cpus, gpus, memory)) {
+        return take;
+      }
+    }
+    return List.of();
+  }
+}
--- a/src/main/java/shorecrank/coordination/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -1,6 +1,5 @@
 package shorecrank.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
@@ -25,7 +24,6 @@
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.TaskRun;
 import shorecrank.protocol.Ids.Token;
-import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages.HandedBack;
 import shorecrank.protocol.PeerMessages.HostInfo;
@@ -74,9 +72,6 @@
   /** With less time left than this a job does not wait for a machine that holds its image. */
   private static final double URGENT_S = 3;
 
-  /** Others' work that may be thrown away for a task, as a share of its own. */
-  private static final double WORTH = 0.5;
-
   /** So many jobs after the urgent ones may go before others where their image is. */
   private static final int NEAR = 8;
 
@@ -125,6 +120,11 @@
 
   private final MachineCustody custody;
 
+  /** Finds out what became of writes that were refused or got no answer. */
+  private final WriteSettlement settlement;
+
+  private final Preemption preemption;
+
   /** Says what the shard needs; null where shares are not enabled. */
   private final ShardDemands demands;
 
@@ -180,6 +180,8 @@
     this.autoscaler = new Autoscaler(ports, this);
     this.dependencies = new Dependencies(ports, jobs, cancellations, this::cancelWithOthers);
     this.queue = new SchedulingQueue(ports, dependencies);
+    this.settlement = new WriteSettlement(ports, references, new JobsOfRecords());
+    this.preemption = new Preemption(ports, this, queue);
     this.statusQueries = new StatusQueries(ports, jobs, dependencies);
     ports.info("part %s: taken over at epoch %s", part, epoch);
     ports.count("part.takeover");
@@ -304,7 +306,7 @@
     }
     abort(j);
     if (valid() && !j.inFlight) {
-      reread(j);
+      settlement.reread(j);
     }
   }
 
@@ -488,7 +490,7 @@
     }
   }
 
-  private void attach(LiveTask t) {
+  void attach(LiveTask t) {
     t.job.add(t);
     double[] u = teamUse.computeIfAbsent(t.job.spec.team(), k -> new double[2]);
     u[0] += t.job.spec.cpus();
@@ -575,19 +577,13 @@
       // What the watch shows is committed; reading the record again may fail for long.
       abort(j);
     }
-    lookAgain(j);
-  }
-
-  /** Something newer than what we know was seen, and no write of ours is out that explains it. */
-  private void lookAgain(Job j) {
-    if (j.seenStamp.after(j.stamp) && !j.inFlight) {
-      reread(j);
-    }
+    settlement.lookAgain(j);
   }
 
   // ---- records -------------------------------------------------------------------------------
 
-  private record Write(Job job, long seq, boolean last, Standing standing) {}
+  /** A write of a job's record, as it was sent. */
+  record Write(Job job, long seq, boolean last, Standing standing) {}
 
   private void flush() {
     MonotonicTime now = ports.now();
@@ -766,7 +762,7 @@
           for (Write w : batch) {
             Job j = w.job;
             j.inFlight = false;
-            settleReferences(w, status, body);
+            settlement.answered(w, status, body);
             if (jobs.get(j.id()) != j) {
               continue;
             }
@@ -774,7 +770,7 @@
               committed(w, new Revision(StoreMessages.revision(body)));
             } else if (failed.contains(JobRecord.liveKey(j.id()))) {
               j.touch(Urgency.NOW, now);
-              reread(j);
+              settlement.reread(j);
             } else {
               // Not applied for another's sake, refused for the load, or not known: the next write
               // behind the same guard settles it.
@@ -807,22 +803,6 @@
         });
   }
 
-  private void settleReferences(Write w, int status, JsonNode body) {
-    if (references == null) {
-      return;
-    }
-    JobId id = w.job.id();
-    if (status != 200) {
-      if (StoreMessages.notCarriedOut(status)) {
-        references.refused(id, w.seq);
-      }
-    } else if (w.last) {
-      references.removed(id);
-    } else {
-      references.committed(id, w.seq, new Revision(StoreMessages.revision(body)));
-    }
-  }
-
   /**
    * A start need not wait for its machine's next report. What goes straight to a worker may be held
    * back or come twice, so it is under a token of its own: the next answer carries a higher one,
@@ -901,129 +881,46 @@
       return;
     }
     j.exits.values().removeIf(seq -> seq <= j.committedSeq);
-    lookAgain(j);
+    settlement.lookAgain(j);
   }
 
-  /** A refused write: what the record says now decides whether the job is still ours. */
-  private void reread(Job j) {
-    if (j.rereading) {
-      return;
+  /** What becomes of a job, by what its record says. */
+  private final class JobsOfRecords implements WriteSettlement.Jobs {
+    @Override
+    public boolean isCurrent(Job j) {
+      return !closed && jobs.get(j.id()) == j;
     }
-    j.rereading = true;
-    ports.state(
-        "GET",
-        StoreMessages.key(JobRecord.liveKey(j.id())),
-        null,
-        CALL_MS,
-        (status, body) -> {
-          if (closed || jobs.get(j.id()) != j) {
-            return;
-          }
-          if (status == 200) {
-            j.rereading = false;
-            StoreMessages.Entry e = StoreMessages.entry(body);
-            JobRecord r = JobRecord.read(e.value());
-            if (r == null) {
-              latch(j, null);
-            } else {
-              reconcile(j, r, e.revision());
-              if (jobs.get(j.id()) == j) {
-                lookAgain(j);
-              }
-            }
-          } else if (status == 404) {
-            j.rereading = false;
-            gone(j);
-          } else {
-            j.rereading = false;
-            j.writeAfter = ports.now().plus(200 + ports.random().nextInt(200));
-            j.touch(Urgency.NOW, ports.now());
-          }
-        });
-  }
 
-  /**
-   * The record is no more. Either the job is over (by a write of ours without an answer, or by a
-   * later owner's): what is left of it on machines is stopped. Or it is not, and we are refused.
-   */
-  private void gone(Job j) {
-    j.rereading = true;
-    ports.state(
-        "GET",
-        StoreMessages.key(JobRecord.finalKey(j.id())),
-        null,
-        CALL_MS,
-        (status, body) -> {
-          j.rereading = false;
-          if (closed || jobs.get(j.id()) != j) {
-            return;
-          }
-          JobRecord.Final end =
-              status == 200 ? JobRecord.Final.read(StoreMessages.entry(body).value()) : null;
-          if (end != null) {
-            forget(j);
-            if (references != null) {
-              references.removed(j.id());
-            }
-            dependencies.ended(j.id(), end.phase());
-            ports.info("job %s: over, as its final record has it", j.id());
-          } else if (status == 404) {
-            latch(j, null);
-          } else {
-            j.writeAfter = ports.now().plus(300);
-            j.touch(Urgency.NOW, ports.now());
-          }
-        });
-  }
+    @Override
+    public Epoch epoch() {
+      return epoch;
+    }
 
-  private void reconcile(Job j, JobRecord r, Revision stamp) {
-    if (r.epoch().above(epoch)) {
-      latch(j, r);
-      return;
+    @Override
+    public void refused(Job j, JobRecord record) {
+      latch(j, record);
     }
-    boolean ours = j.wrote(r, ports.writer);
-    if (r.epoch().equals(epoch) && !r.writer().equals(ports.writer)) {
-      latch(j, r);
-      return;
+
+    @Override
+    public void cancelled(Job j) {
+      abort(j);
     }
-    if (references != null) {
-      boolean othersMayWrite = !ours && (r.epoch().value() > 0 || j.claimFirst);
-      references.read(j.id(), stamp, RecordReferences.machinesOf(r), othersMayWrite);
-    }
-    if (ours) {
-      // One of our own writes, by its number; memory already holds all of it. Somebody may have
-      // asked to cancel on top of it.
-      j.stamp = stamp;
-      j.standing = r.standing();
-      j.claimed = r.epoch().value() > 0;
-      j.committedSeq = Math.max(j.committedSeq, r.seq());
-      j.exits.values().removeIf(seq -> seq <= j.committedSeq);
-      if (r.aborted() && !j.aborted) {
-        abort(j);
-      }
-      j.touch(Urgency.NOW, ports.now());
-      return;
+
+    @Override
+    public void ended(Job j, Phase phase) {
+      forget(j);
+      dependencies.ended(j.id(), phase);
     }
-    if (r.epoch().value() == 0 && j.epoch.value() == 0) {
-      // Nobody has claimed it: only a request to cancel changes such a record.
-      j.stamp = stamp;
-      j.standing = r.standing();
-      if (r.aborted() && !j.aborted) {
-        abort(j);
+
+    @Override
+    public void replaced(Job j, JobRecord record, Revision revision) {
+      for (LiveTask t : new ArrayList<>(j.live.values())) {
+        detach(t);
       }
-      j.touch(Urgency.NOW, ports.now());
-      return;
-    }
-    // A late write of an earlier owner came in before our claim: its record is what counts.
-    ports.info(
-        "job %s: record of epoch %s found below ours %s, taken in", j.id(), r.epoch(), epoch);
-    for (LiveTask t : new ArrayList<>(j.live.values())) {
-      detach(t);
+      j.claimed = false;
+      j.adoptHead(record, revision);
+      adoptLive(j, record);
     }
-    j.claimed = false;
-    j.adoptHead(r, stamp);
-    adoptLive(j, r);
-    j.touch(Urgency.NOW, ports.now());
   }
 
   private void abort(Job j) {
@@ -1550,7 +1447,7 @@
       }
     }
     // In a full fleet nobody needs an order, unless there is one who makes room for himself.
-    if (room.isEmpty() && reserve.isEmpty() && waiting.stream().noneMatch(this::preempts)) {
+    if (room.isEmpty() && reserve.isEmpty() && waiting.stream().noneMatch(preemption::wanted)) {
       return;
     }
     waiting = sorted(waiting);
@@ -1758,137 +1655,14 @@
         }
       }
     }
-    if (wanted > 0 && !j.spec.spread() && j.backoff == 0 && preempts(j)) {
-      placed |= preempt(j, wanted, index, zone);
+    if (wanted > 0 && !j.spec.spread() && j.backoff == 0 && preemption.wanted(j)) {
+      placed |= preemption.makeRoom(j, wanted, index, zone);
     }
     if (placed) {
       j.touch(Urgency.NOW, ports.now());
     }
   }
 
-  /**
-   * Users wait for the start of such a job, so it does not wait for others' ends; but while its aim
-   * leaves time for the command and the image, room may yet come free by itself.
-   */
-  private boolean preempts(Job j) {
-    if (queue.hasAims(j.spec) && !queue.waitsForStart(j.spec)) {
-      return false;
-    }
-    if (!queue.hasAims(j.spec)) {
-      return j.priority.compareTo(JobSpec.Priority.URGENT) <= 0;
-    }
-    double aim = Double.MAX_VALUE;
-    double age = j.readyS(ports.wallMs());
-    for (NodeConfig.Objective o : ports.config.objectives()) {
-      if (o.kind().equals("wait") && o.jobClass().equals(j.spec.jobClass()) && o.withinS() > age) {
-        aim = Math.min(aim, o.withinS());
-      }
-    }
-    if (aim == Double.MAX_VALUE) {
-      // Too late to start in time: nothing is won by what others would lose.
-      return false;
-    }
-    double fetch = 0;
-    for (HostType t : catalog.values()) {
-      fetch = Math.max(fetch, j.spec.imageGb() / Math.max(0.01, t.fetchGbPerS()));
-    }
-    return age > aim - fetch - 1.25 * ports.config.workers().reportS() - 2;
-  }
-
-  /**
-   * Makes room by stopping tasks of lower priority that lose the least by it. Only such as exit at
-   * once when stopped: the stop goes before the start in one answer, and so the start finds room.
-   */
-  private boolean preempt(Job j, int wanted, int from, String onlyZone) {
-    boolean placed = false;
-    String zone = onlyZone;
-    int index = from;
-    double mayCost = WORTH * j.spec.cpus() * Math.max(1, j.spec.estimateS());
-    while (wanted > 0 && j.rangesLeft > 0) {
-      Host best = null;
-      List<LiveTask> victims = List.of();
-      double bestCost = Double.MAX_VALUE;
-      for (Host h : hosts.values()) {
-        if (!usable(h)
-            || !h.allowed(j.spec)
-            || j.failedOn.contains(h.name)
-            || (zone != null && !zone.equals(h.info.zone()))) {
-          continue;
-        }
-        List<LiveTask> v = victims(h, j);
-        if (v.isEmpty()) {
-          continue;
-        }
-        double thrownAway = 0;
-        for (LiveTask t : v) {
-          thrownAway += t.lost(ports.now()) * t.job.spec.cpus();
-        }
-        double c =
-            h.fetchSeconds(j.spec)
-                + h.toldInS(ports.now(), ports.config.workers().reportS())
-                + thrownAway / j.spec.cpus();
-        if (c < bestCost && thrownAway <= mayCost) {
-          best = h;
-          bestCost = c;
-          victims = v;
-        }
-      }
-      if (best == null) {
-        return placed;
-      }
-      index = j.nextQueued(index);
-      if (index < 0) {
-        return placed;
-      }
-      for (LiveTask t : victims) {
-        t.revoked = true;
-        best.yield(t);
-      }
-      ports.count("task.preempted");
-      victims.forEach(t -> ports.count("task.preempted.ms", (long) (t.lost(ports.now()) * 1000)));
-      Attempt attempt = new Attempt(++j.tries);
-      j.rangesLeft--;
-      attach(new LiveTask(j, index, best, best.tenure, attempt, j.seq + 1, ports.now()));
-      placed = true;
-      wanted--;
-      if (j.spec.oneZone()) {
-        zone = best.info.zone();
-      }
-    }
-    return placed;
-  }
-
-  /** The cheapest tasks of lower priority whose end makes room for one task; empty if none do. */
-  private List<LiveTask> victims(Host h, Job j) {
-    List<LiveTask> can = new ArrayList<>();
-    for (LiveTask t : h.live) {
-      if (!t.revoked
-          && t.committed()
-          && t.job.claimed
-          && t.state != TaskState.FLUSHING
-          && t.job.spec.checkpointS() <= 0
-          && t.job.priority.compareTo(j.priority) > 0) {
-        can.add(t);
-      }
-    }
-    MonotonicTime now = ports.now();
-    can.sort(Comparator.<LiveTask>comparingDouble(t -> t.lost(now)).thenComparingInt(t -> t.index));
-    List<LiveTask> take = new ArrayList<>();
-    double cpus = 0;
-    double gpus = 0;
-    double memory = 0;
-    for (LiveTask t : can) {
-      take.add(t);
-      cpus += t.job.spec.cpus();
-      gpus += t.job.spec.gpus();
-      memory += t.job.spec.memoryGb();
-      if (h.fitsWith(j.spec, cpus, gpus, memory)) {
-        return take;
-      }
-    }
-    return List.of();
-  }
-
   // ---- for users -------------------------------------------------------------------------------
 
   /** Tells where a job stands, if this owner can. */
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -253,6 +253,10 @@
   final Set<String> submitted = new HashSet<>();
   final Set<String> cancelAsked = new HashSet<>();
   final Set<String> results = new HashSet<>();
+
+  /** Progress that tasks have saved, in milliseconds. */
+  final Map<String, Long> saved = new HashMap<>();
+
   final List<String> logs = new ArrayList<>();
 
   /** Troubles that come when a controller first logs a text. */
