--- a/src/test/java/shorecrank/sim/ProcessFleet.java
+++ b/src/test/java/shorecrank/sim/ProcessFleet.java
@@ -14,6 +14,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import shorecrank.client.ClientCommand;
+import shorecrank.config.Tuning;
+import shorecrank.config.TuningFile;
 import shorecrank.protocol.RolloutMessages.RolloutState;
 import shorecrank.sim.ProcessWorld.ProcessNode;
 import shorecrank.sim.ProcessWorld.Version;
@@ -32,8 +34,15 @@
   record Run(int status, String out, String err) {}
 
   ProcessFleet(long seed, Version first, int machines) throws Exception {
+    this(seed, first, machines, TuningFile.defaults());
+  }
+
+  /**
+   * @param tuning as in the settings file that the processes are started with
+   */
+  ProcessFleet(long seed, Version first, int machines, Tuning tuning) throws Exception {
     Path logs = Files.createDirectories(ProgramVersions.BASE.resolve("target/process-fleet"));
-    world = new ProcessWorld(seed, first, Files.createTempDirectory(logs, "run"));
+    world = new ProcessWorld(seed, first, Files.createTempDirectory(logs, "run"), tuning);
     world.describeSmallSite();
     world.cloud.capacity = machines + 2;
     world.users.closeLooks(600_000);
--- a/src/test/java/shorecrank/sim/ProcessWorld.java
+++ b/src/test/java/shorecrank/sim/ProcessWorld.java
@@ -34,8 +34,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import shorecrank.config.TuningFile;
+import shorecrank.config.Tuning;
 import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Json;
 
@@ -160,10 +161,20 @@
 
     @Override
     Map<PartId, Epoch> owned() {
-      JsonNode part = store.peek("part/0");
-      return part.path("label").asText().equals(label)
-          ? Map.of(new PartId(0), new Epoch(part.path("epoch").asLong()))
-          : Map.of();
+      Map<PartId, Epoch> owned = new HashMap<>();
+      for (String key : store.keys("part/")) {
+        JsonNode part = store.peek(key);
+        if (part.path("label").asText().equals(label)) {
+          PartId shard = new PartId(part.path("part").asInt());
+          owned.put(shard, new Epoch(part.path("epoch").asLong()));
+        }
+      }
+      return owned;
+    }
+
+    @Override
+    Set<HostName> commandedMachines() {
+      return Set.of();
     }
 
     /** What a process may command is not seen from outside. */
@@ -221,8 +232,11 @@
   /** The only controller that gets new grants, so that it is the next to lead; null for any. */
   private Node mayLead;
 
-  ProcessWorld(long seed, Version first, Path directory) {
-    super(seed, TuningFile.defaults());
+  /**
+   * @param tuning as in the settings file that the processes are started with
+   */
+  ProcessWorld(long seed, Version first, Path directory, Tuning tuning) {
+    super(seed, tuning);
     this.first = first;
     this.directory = directory;
     // Also when the test is ended from outside, no controller is left behind.
--- a/src/test/java/shorecrank/sim/Worker.java
+++ b/src/test/java/shorecrank/sim/Worker.java
@@ -307,6 +307,7 @@
       case "start" -> {
         if (t == null) {
           world.checker.commanded(this, piece, attempt, true);
+          world.history.started(name, epoch, piece).forEach(world.checker::broken);
           start(key, piece, attempt);
         }
       }
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -244,6 +244,10 @@
   final Users users;
   final Rollouts rollouts;
   final Shares shares;
+
+  /** Which starts workers carried out, and what was written before. */
+  final CommandHistory history = new CommandHistory();
+
   final List<Node> nodes = new ArrayList<>();
   final Map<String, Worker> workers = new TreeMap<>();
   final Map<String, TypePlan> types = new TreeMap<>();
@@ -332,9 +336,24 @@
         operations -> {
           rollouts.applying(operations);
           shares.applying(operations);
+          record(operations);
         };
   }
 
+  /** What a transaction says of shards and machines goes into the history. */
+  private void record(JsonNode operations) {
+    for (JsonNode o : operations) {
+      String key = o.path("write").asText();
+      if (key.startsWith("part/")) {
+        history.minted(o.path("data").path("epoch").asLong(), o.path("data").path("part").asInt());
+      } else if (key.startsWith("hosts/") && tuning.parts() > 1) {
+        o.path("data")
+            .path("m")
+            .forEach(m -> history.assigned(m.path(0).asText(), m.path(4).asInt()));
+      }
+    }
+  }
+
   int index(String label) {
     for (Node n : nodes) {
       if (n.label.equals(label)) {
