--- a/src/main/java/shorecrank/coordination/Host.java
+++ b/src/main/java/shorecrank/coordination/Host.java
@@ -37,9 +37,6 @@
   /** The order under which it is to be handed over, or has come. */
   MoveId move = MoveId.NONE;
 
-  /** The order under which it was last said to be empty. */
-  MoveId handedBack = MoveId.NONE;
-
   /** It has come from another shard, so it has run before it was assigned here. */
   boolean hasRun;
 
--- a/src/main/java/shorecrank/coordination/MachineCustody.java
+++ b/src/main/java/shorecrank/coordination/MachineCustody.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,12 @@
 
   private Map<String, HostType> catalog = Map.of();
 
+  /**
+   * The orders under which machines were handed back: that holds until a machine may be used again,
+   * also while the leader says that it is nobody's.
+   */
+  private final Map<HostName, MoveId> handedBack = new HashMap<>();
+
   /**
    * @param references machines that records may name; null where there is only one shard
    * @param foreign tasks of other shards; null where there is only one shard
@@ -110,6 +117,7 @@
   void assigned(MachineAssignment a) {
     HostName name = a.host().name();
     if (!a.part().equals(shard)) {
+      handedBack.remove(name);
       unassigned(name);
       Host kept = machines.get(name);
       if (kept != null) {
@@ -132,6 +140,9 @@
     }
     h.recall = a.recall();
     h.move = a.move();
+    if (!h.recall) {
+      handedBack.remove(name);
+    }
     h.hasRun |= a.move().isSet() && !a.recall();
   }
 
@@ -154,6 +165,7 @@
   /** Machines that are surely gone, with all that ran on them. */
   void gone(Collection<HostName> names) {
     for (HostName name : names) {
+      handedBack.remove(name);
       Host h = machines.get(name);
       if (h != null) {
         loseAll(h, "released");
@@ -251,7 +263,7 @@
     for (Host h : machines.values()) {
       if (h.recall && isSettled(h, liveness)) {
         back.add(new HandedBack(h.name, h.move));
-        h.handedBack = h.move;
+        handedBack.put(h.name, h.move);
       }
     }
     return back;
@@ -294,7 +306,8 @@
   Set<HostName> commanded() {
     Set<HostName> names = new HashSet<>();
     for (Host h : machines.values()) {
-      if (h.lent && !(h.recall && h.handedBack.equals(h.move) && h.move.isSet())) {
+      boolean isBack = h.recall && h.move.equals(handedBack.get(h.name));
+      if (h.lent && !isBack) {
         names.add(h.name);
       }
     }
--- a/src/main/java/shorecrank/rebalance/ShareTargets.java
+++ b/src/main/java/shorecrank/rebalance/ShareTargets.java
@@ -120,8 +120,9 @@
       weights += weight(claims.get(shard));
     }
     double given = 0;
-    for (PartId shard : List.copyOf(lacking.keySet())) {
-      double part = weights > EPSILON ? weight(claims.get(shard)) / weights : 1.0 / lacking.size();
+    List<PartId> shards = List.copyOf(lacking.keySet());
+    for (PartId shard : shards) {
+      double part = weights > EPSILON ? weight(claims.get(shard)) / weights : 1.0 / shards.size();
       double lack = lacking.get(shard);
       double gets = Math.min(lack, left * part);
       targets.merge(shard, gets, Double::sum);
--- /dev/null
+++ b/src/test/java/shorecrank/rebalance/MoveExplorationTest.java
@@ -0,0 +1,80 @@
+package shorecrank.rebalance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import shorecrank.protocol.ShareMessages.MovePhase;
+import shorecrank.rebalance.MoveModel.Fault;
+import shorecrank.rebalance.MoveModel.State;
+
+/**
+ * One move, explored over all orders of its steps, late and lost writes and answers, delayed
+ * heartbeats, up to two ends of the leader and one of the source's owner. Each guard taken out is
+ * seen to break the rules.
+ */
+class MoveExplorationTest {
+  private static final int MOST_STATES = 3_000_000;
+
+  private static int explored;
+  private static final Map<MovePhase, Integer> ENDS = new TreeMap<>();
+
+  /** The first state that breaks a rule, with what led to it; empty if none does. */
+  private static List<String> explore(Set<Fault> faults) {
+    MoveModel model = new MoveModel(faults);
+    record Step(State state, Step before, String event) {}
+    ArrayDeque<Step> open = new ArrayDeque<>();
+    Set<State> seen = new HashSet<>();
+    open.add(new Step(State.INITIAL, null, "begin"));
+    seen.add(State.INITIAL);
+    ENDS.clear();
+    while (!open.isEmpty()) {
+      Step step = open.poll();
+      String broken = model.broken(step.state());
+      if (!broken.isEmpty()) {
+        List<String> trace = new ArrayList<>(List.of(broken));
+        for (Step s = step; s != null; s = s.before()) {
+          trace.add(1, s.event());
+        }
+        return trace;
+      }
+      if (step.state().phase() != null) {
+        ENDS.merge(step.state().phase(), 1, Integer::sum);
+      }
+      model.next(
+          step.state(),
+          (event, next) -> {
+            if (seen.add(next)) {
+              open.add(new Step(next, step, event));
+            }
+          });
+      assertTrue(seen.size() < MOST_STATES, "too many states");
+    }
+    explored = seen.size();
+    return List.of();
+  }
+
+  @Test
+  void noOrderOfEventsBreaksARule() {
+    assertEquals(List.of(), explore(Set.of()));
+    System.out.printf("move explored: %d states, by phase %s%n", explored, ENDS);
+    // All ends are reached, so the exploration is not empty.
+    assertEquals(Set.of(MovePhase.values()), ENDS.keySet());
+  }
+
+  @Test
+  void everyGuardIsNeeded() {
+    for (Fault fault : Fault.values()) {
+      List<String> trace = explore(Set.of(fault));
+      assertTrue(!trace.isEmpty(), "not seen without: " + fault);
+      System.out.printf("without %s: %s, after %d events%n", fault, trace.get(0), trace.size() - 2);
+    }
+  }
+}
