A mint is settled before anything is read anew, and an earlier one's time-out undoes nothing

Read besides: the doubt of a mint was lost when the leader was reading anew for another reason.

Change: mints are numbered; nothing is read anew while one of this term is open; a commit settles those before it. Owners are spread over controllers, then over zones. Every world checks that no record names a machine of another shard.

--- /dev/null
+++ b/src/main/java/shorecrank/coordination/DirectStarts.java
@@ -0,0 +1,91 @@
+package shorecrank.coordination;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import shorecrank.coordination.Job.LiveTask;
+import shorecrank.coordination.ShardOwner.Write;
+import shorecrank.protocol.Ids.Token;
+import shorecrank.protocol.WorkerMessages;
+import shorecrank.protocol.WorkerMessages.Order;
+import shorecrank.protocol.WorkerMessages.Start;
+
+/** Starts that go straight to their machines, without waiting for the next report. */
+final class DirectStarts {
+  /** A machine that reports so soon is told then. */
+  private static final int SOON_MS = 100;
+
+  /** So long a worker may take to answer a command; what is not answered may yet be carried out. */
+  private static final int DIRECT_MS = 1000;
+
+  private final Ports ports;
+  private final ShardOwner owner;
+
+  /** Commands that went straight to workers and are not answered. */
+  private int directOut;
+
+  DirectStarts(Ports ports, ShardOwner owner) {
+    this.ports = ports;
+    this.owner = owner;
+  }
+
+  /**
+   * A start need not wait for its machine's next report. What goes straight to a worker may be held
+   * back or come twice, so it is under a token of its own: the next answer carries a higher one,
+   * and until the worker has shown that, nothing is concluded from what it does not list, and what
+   * it has done is not reaped.
+   */
+  void send(List<Write> batch) {
+    Set<Host> to = new LinkedHashSet<>();
+    for (Write w : batch) {
+      if (w.last() || !owner.owns(w.job())) {
+        continue;
+      }
+      for (LiveTask l : w.job().live.values()) {
+        if (l.seq == w.seq() && !l.commanded && l.committed()) {
+          to.add(l.host);
+        }
+      }
+    }
+    for (Host h : to) {
+      if (!owner.valid()
+          || directOut >= maxDirect()
+          || !h.known
+          || !h.takesDirect(owner.epoch())
+          || h.toldInS(ports.now(), ports.config.workers().reportS()) * 1000 < SOON_MS) {
+        continue;
+      }
+      List<Order> orders = owner.orders(h, true);
+      if (orders.stream().noneMatch(Start.class::isInstance)) {
+        continue;
+      }
+      Token token = h.token(owner.epoch());
+      for (Order o : orders) {
+        if (o instanceof Start) {
+          h.sentDirectly(o.run(), token);
+        }
+      }
+      directOut++;
+      h.directOut++;
+      ports.count("orders.direct");
+      ports.worker(
+          h.address,
+          WorkerMessages.ORDERS,
+          WorkerMessages.direct(token, h.tenure, orders),
+          DIRECT_MS,
+          (status, body) -> {
+            directOut--;
+            h.directOut--;
+            h.directAnswered++;
+            if (status != 200) {
+              ports.count("orders.direct.failed");
+            }
+          });
+    }
+  }
+
+  /** Connections to workers come out of what is left beside those of users, workers and peers. */
+  private int maxDirect() {
+    return Math.max(4, ports.config.limits().sockets() / 20);
+  }
+}
--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -82,6 +82,17 @@
   /** So long an owner that workers did not reach is not chosen again. */
   private static final int AVOID_MS = 60_000;
 
+  /** What a controller's duties count when an owner is chosen: a shard more than leading. */
+  private static final int LEADER_LOAD = 64;
+
+  private static final int SHARD_LOAD = 128;
+
+  /** A shard in the same zone, of which there are 64 at the most. */
+  private static final int ZONE_LOAD = 1;
+
+  private static final int UNREACHED_ZONE_LOAD = 100_000;
+  private static final int UNREACHED_OWNER_LOAD = 100_000_000;
+
   private final Ports ports;
   private final Election election;
   private final RolloutCoordinator rollout;
@@ -114,6 +125,11 @@
   private long epochCounter;
   private boolean minting;
 
+  /** The term of the latest mint, and its number: an earlier one's answer says nothing new. */
+  private Revision mintTerm = Revision.ABSENT;
+
+  private long mints;
+
   /**
    * @param rollout says which controllers may own shards; null if rollouts are not enabled
    * @param shares the operators' settings of shares; null if those are not enabled
@@ -163,7 +179,7 @@
     assigner.look();
     if (!ready()) {
       boolean loaded = loadedTerm.equals(election.term());
-      if (!loaded && !loading && !assigner.inDoubt() && !ports.now().before(loadRetryAt)) {
+      if (!loaded && !loading && !isUnsettled() && !ports.now().before(loadRetryAt)) {
         load();
       }
       return;
@@ -180,6 +196,15 @@
     cloud.tick();
   }
 
+  /**
+   * Whether a write of this term has no answer yet. What is read meanwhile could be out of date by
+   * it: an owner would be granted a lease beside a successor that is being written down.
+   */
+  private boolean isUnsettled() {
+    boolean mintOpen = minting && mintTerm.equals(election.term());
+    return mintOpen || assigner.inDoubt();
+  }
+
   /**
    * The same term goes on after a time in which no lease could be granted, as an outage of the
    * state service leaves it. Owners that live are heard within a few heartbeats; only then does an
@@ -526,18 +551,7 @@
         if (!canServe(x) || !mayOwn(n.getKey())) {
           continue;
         }
-        int load = n.getKey().equals(ports.config.label()) ? 1 : 0;
-        if (p.unreached != null && now.since(p.movedAt) < AVOID_MS) {
-          // Rather one that the workers reach: not the last, and not in its zone or in theirs.
-          String at = location(n.getKey());
-          load += n.getKey().equals(p.unreached) ? 1_000_000 : 0;
-          load += at.equals(location(p.unreached)) || p.unreachedBy.contains(at) ? 1000 : 0;
-        }
-        for (Part q : parts.values()) {
-          if (q != p && !q.vacant && n.getKey().equals(q.owner)) {
-            load += 2;
-          }
-        }
+        int load = ownerLoad(p, n.getKey());
         if (load < bestLoad) {
           bestLoad = load;
           best = n.getKey();
@@ -553,6 +567,29 @@
     }
   }
 
+  /**
+   * How unfit a controller is to own a shard beside what it does already: the lower the better.
+   * Shards are spread over controllers first, then over zones.
+   */
+  private int ownerLoad(Part p, NodeLabel candidate) {
+    int load = candidate.equals(ports.config.label()) ? LEADER_LOAD : 0;
+    String at = location(candidate);
+    if (p.unreached != null && ports.now().since(p.movedAt) < AVOID_MS) {
+      // Rather one that the workers reach: not the last, and not in its zone or in theirs.
+      load += candidate.equals(p.unreached) ? UNREACHED_OWNER_LOAD : 0;
+      boolean unreachedZone = at.equals(location(p.unreached)) || p.unreachedBy.contains(at);
+      load += unreachedZone ? UNREACHED_ZONE_LOAD : 0;
+    }
+    for (Part q : parts.values()) {
+      if (q != p && !q.vacant && candidate.equals(q.owner)) {
+        load += SHARD_LOAD;
+      } else if (q != p && !q.vacant && at.equals(location(q.owner))) {
+        load += ZONE_LOAD;
+      }
+    }
+    return load;
+  }
+
   private MonotonicTime officeSince = MonotonicTime.NEVER;
   private Revision officeTerm = Revision.ABSENT;
 
@@ -573,6 +610,8 @@
     p.mintingFor = writer;
     long next = Math.max(epochCounter, above) + 1;
     Revision term = loadedTerm;
+    mintTerm = term;
+    long number = ++mints;
     ports.state(
         "POST",
         StoreMessages.MULTI,
@@ -590,8 +629,20 @@
             .body(),
         CALL_MS,
         (status, body) -> {
+          if (number != mints) {
+            return;
+          }
           minting = false;
           p.minting = false;
+          boolean unknown = status != 200 && !StoreMessages.notCarriedOut(status);
+          if (unknown && term.equals(election.term()) && !owner.equals(p.owner)) {
+            ownerInDoubt.add(id);
+            doubtTerm = term;
+          }
+          if (status == 200 && term.equals(election.term())) {
+            // Those before it were guarded by the counter's last revision.
+            ownerInDoubt.clear();
+          }
           if (!loadedTerm.equals(term)) {
             return;
           }
@@ -600,13 +651,8 @@
             // and a later mint behind the same guard is what settles it.
             loadedTerm = Revision.ABSENT;
             loadRetryAt = ports.now().plus(200);
-            if (!StoreMessages.notCarriedOut(status) && !owner.equals(p.owner)) {
-              ownerInDoubt.add(id);
-              doubtTerm = term;
-            }
             return;
           }
-          ownerInDoubt.clear();
           epochStamp = new Revision(StoreMessages.revision(body));
           epochCounter = next;
           p.owner = owner;
--- a/src/main/java/shorecrank/coordination/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/ShardOwner.java
@@ -23,7 +23,6 @@
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.TaskRun;
-import shorecrank.protocol.Ids.Token;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.PeerMessages.HandedBack;
 import shorecrank.protocol.PeerMessages.HostInfo;
@@ -63,12 +62,6 @@
   /** A watch is answered after so long at the latest: so fresh is what it proves at least. */
   private static final int WATCH_HOLD_MS = 2000;
 
-  /** So long a worker may take to answer a command; what is not answered may yet be carried out. */
-  private static final int DIRECT_MS = 1000;
-
-  /** A machine that reports so soon is told then. */
-  private static final int SOON_MS = 100;
-
   /** With less time left than this a job does not wait for a machine that holds its image. */
   private static final double URGENT_S = 3;
 
@@ -124,6 +117,7 @@
   private final WriteSettlement settlement;
 
   private final Preemption preemption;
+  private final DirectStarts directStarts;
 
   /** Says what the shard needs; null where shares are not enabled. */
   private final ShardDemands demands;
@@ -140,9 +134,6 @@
 
   private int inFlight;
 
-  /** Commands that went straight to workers and are not answered. */
-  private int directOut;
-
   private MonotonicTime writeRetryAt = MonotonicTime.NEVER;
   private JobId cursor;
   final WorkerLiveness liveness;
@@ -182,6 +173,7 @@
     this.queue = new SchedulingQueue(ports, dependencies);
     this.settlement = new WriteSettlement(ports, references, new JobsOfRecords());
     this.preemption = new Preemption(ports, this, queue);
+    this.directStarts = new DirectStarts(ports, this);
     this.statusQueries = new StatusQueries(ports, jobs, dependencies);
     ports.info("part %s: taken over at epoch %s", part, epoch);
     ports.count("part.takeover");
@@ -274,6 +266,11 @@
     return !alone || hearsFew || over < ports.tuning.leaseMs() * 2L;
   }
 
+  /** Whether this very object is the shard's job of that id. */
+  boolean owns(Job job) {
+    return jobs.get(job.id()) == job;
+  }
+
   /** Up to when the state service has shown this owner all cancellations. */
   MonotonicTime storeAsOf() {
     return storeAsOf;
@@ -798,71 +795,11 @@
           }
           answerParked(false);
           if (status == 200) {
-            startDirectly(batch);
+            directStarts.send(batch);
           }
         });
   }
 
-  /**
-   * A start need not wait for its machine's next report. What goes straight to a worker may be held
-   * back or come twice, so it is under a token of its own: the next answer carries a higher one,
-   * and until the worker has shown that, nothing is concluded from what it does not list, and what
-   * it has done is not reaped.
-   */
-  private void startDirectly(List<Write> batch) {
-    Set<Host> to = new LinkedHashSet<>();
-    for (Write w : batch) {
-      if (w.last || jobs.get(w.job.id()) != w.job) {
-        continue;
-      }
-      for (LiveTask l : w.job.live.values()) {
-        if (l.seq == w.seq && !l.commanded && l.committed()) {
-          to.add(l.host);
-        }
-      }
-    }
-    for (Host h : to) {
-      if (!valid()
-          || directOut >= maxDirect()
-          || !h.known
-          || !h.takesDirect(epoch)
-          || h.toldInS(ports.now(), ports.config.workers().reportS()) * 1000 < SOON_MS) {
-        continue;
-      }
-      List<Order> orders = orders(h, true);
-      if (orders.stream().noneMatch(Start.class::isInstance)) {
-        continue;
-      }
-      Token token = h.token(epoch);
-      for (Order o : orders) {
-        if (o instanceof Start) {
-          h.sentDirectly(o.run(), token);
-        }
-      }
-      directOut++;
-      h.directOut++;
-      ports.count("orders.direct");
-      ports.worker(
-          h.address,
-          WorkerMessages.ORDERS,
-          WorkerMessages.direct(token, h.tenure, orders),
-          DIRECT_MS,
-          (status, body) -> {
-            directOut--;
-            h.directOut--;
-            h.directAnswered++;
-            if (status != 200) {
-              ports.count("orders.direct.failed");
-            }
-          });
-    }
-  }
-
-  /** Connections to workers come out of what is left beside those of users, workers and peers. */
-  private int maxDirect() {
-    return Math.max(4, ports.config.limits().sockets() / 20);
-  }
-
   private void committed(Write w, Revision stamp) {
     Job j = w.job;
     j.stamp = stamp;
@@ -1222,7 +1159,7 @@
   }
 
   /** What the worker is told, from its last report and what is committed by now. */
-  private List<Order> orders(Host h, boolean direct) {
+  List<Order> orders(Host h, boolean direct) {
     List<Order> orders = new ArrayList<>();
     Set<LiveTask> listed = new HashSet<>();
     for (TaskReport t : h.report.tasks()) {
--- a/src/test/java/shorecrank/sim/CommandHistory.java
+++ b/src/test/java/shorecrank/sim/CommandHistory.java
@@ -27,6 +27,11 @@
     shardOfMachine.put(machine, shard);
   }
 
+  /** Whether a machine is assigned to a shard, as far as that was ever written down. */
+  boolean belongs(String machine, int shard) {
+    return shardOfMachine.getOrDefault(machine, shard) == shard;
+  }
+
   /**
    * A worker carries a start out.
    *
--- a/src/test/java/shorecrank/sim/Shares.java
+++ b/src/test/java/shorecrank/sim/Shares.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import shorecrank.config.NodeConfig;
 import shorecrank.protocol.Ids.HostName;
@@ -43,6 +45,15 @@
   /** What controllers have counted, by metric. */
   final Map<String, Long> counts = new TreeMap<>();
 
+  /** The latest values of gauges, by metric. */
+  final Map<String, Double> gauges = new TreeMap<>();
+
+  /** Machines whose only assignment so far was carried out late. */
+  private final Set<String> neverTold = new HashSet<>();
+
+  /** Changes of the state service in transactions that change moves. */
+  int storeOperations;
+
   Shares(World world) {
     this.world = world;
   }
@@ -77,6 +88,12 @@
     }
   }
 
+  void gauge(String metric, double value) {
+    if (metric.startsWith("shares.")) {
+      gauges.put(metric, value);
+    }
+  }
+
   SharesState state() {
     JsonNode value = world.store.peek(ShareMessages.KEY);
     SharesState state = value.isMissingNode() ? null : ShareMessages.readState(value);
@@ -108,6 +125,7 @@
     SharesState after = before;
     for (JsonNode o : operations) {
       if (o.path("write").asText().equals(ShareMessages.KEY)) {
+        storeOperations += operations.size();
         after = ShareMessages.readState(o.path("data"));
       }
     }
@@ -140,6 +158,17 @@
       JsonNode m, Map<Integer, List<String>> now, SharesState before, SharesState after) {
     String name = m.path(0).asText();
     int shard = m.path(4).asInt();
+    boolean known = now.values().stream().anyMatch(names -> names.contains(name));
+    if (!known && world.store.lateByMs > 0) {
+      // First written by a write whose sender has no answer: it has told nobody.
+      neverTold.add(name);
+    }
+    if (neverTold.contains(name)) {
+      if (world.store.lateByMs == 0) {
+        neverTold.remove(name);
+      }
+      return;
+    }
     now.forEach(
         (was, names) -> {
           if (was == shard || !names.contains(name)) {
--- /dev/null
+++ b/src/test/java/shorecrank/sim/SharesMeasurementTest.java
@@ -0,0 +1,151 @@
+package shorecrank.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** What moves take and cost, in simulated time; figures are printed for docs/measurements.md. */
+@Tag("shares")
+class SharesMeasurementTest {
+  private static final String SITE =
+      """
+      nodes 3
+      zones a,b
+      team t
+      team u
+      type p8 cpus=8 mem=32 boot=20 zones=a,b
+       machines p8 a 10
+       machines p8 b 10
+      capacity 20
+      """;
+
+  private static World play(String text, Measurements measurements) throws Exception {
+    Scenario scenario = new Scenario("measurement", text);
+    scenario.measurements = measurements;
+    assertEquals(List.of(), scenario.play(1, false));
+    return scenario.world;
+  }
+
+  @Test
+  void timeOfMovesByTaskLength() throws Exception {
+    for (int taskS : new int[] {5, 20, 60}) {
+      StringBuilder text = new StringBuilder(SITE);
+      text.append("set parts: 2\nshares automatic: false move_timeout_s: 300\n");
+      text.append("at 5 submit wk-1 team=t pieces=6000 cpus=1 run=%d\n".formatted(taskS));
+      text.append("at 5 submit wk-2 team=u pieces=6000 cpus=1 run=%d\n".formatted(taskS));
+      for (int s = 20; s < 560; s += 5) {
+        int from = s / 5 % 2;
+        text.append(
+            "at %d share-order n0 o%d move from=%d count=2 to=%d\n"
+                .formatted(s, s, from, 1 - from));
+      }
+      World w = play(text.append("until 600\n").toString(), null);
+      long done = w.shares.counts.getOrDefault("shares.moves.done", 0L);
+      System.out.printf(
+          Locale.ROOT,
+          "tasks of %d s: %d moves, %.1f a minute, median %.1f s, 99th percentile %.1f s,"
+              + " %.1f changes a move, %d aborted%n",
+          taskS,
+          done,
+          done / 9.0,
+          w.shares.gauges.getOrDefault("shares.move.ms.p50", 0.0) / 1000,
+          w.shares.gauges.getOrDefault("shares.move.ms.p99", 0.0) / 1000,
+          (double) w.shares.storeOperations / Math.max(1, done),
+          w.shares.counts.getOrDefault("shares.moves.aborted", 0L));
+    }
+  }
+
+  @Test
+  void waitingOfASpike() throws Exception {
+    for (String shards :
+        List.of("set parts: 1", "set parts: 2", "set parts: 2\nshares settle_s: 1")) {
+      String text =
+          SITE
+              + shards
+              + """
+
+              at 10 submit wk-1 team=t pieces=1000 cpus=1 run=40
+              at 20 submit wk-2 team=u pieces=80 cpus=1 run=10 urgency=urgent
+              until 600
+              """;
+      Scenario scenario = new Scenario("spike", text);
+      double[] spikeDone = {-1};
+      double[] backlogDone = {-1};
+      double[] idleCpuS = {0};
+      scenario.prepare = w -> sample(w, spikeDone, backlogDone, idleCpuS);
+      List<String> broken = scenario.play(1, false);
+      System.out.printf(
+          Locale.ROOT,
+          "%s: spike done after %.0f s, backlog after %.0f s, idle while tasks wait %.0f CPU s%s%n",
+          shards.replace('\n', ' '),
+          spikeDone[0] < 0 ? -1 : spikeDone[0] - 20,
+          backlogDone[0] < 0 ? -1 : backlogDone[0] - 10,
+          idleCpuS[0],
+          broken.isEmpty() ? "" : ", broken: " + broken);
+    }
+  }
+
+  /** Once a second: who is done, and how many processors idle while something waits. */
+  private static void sample(World w, double[] spike, double[] backlog, double[] idle) {
+    double now = w.sim.now / 1000.0;
+    if (spike[0] < 0 && w.checker.told("wk-2").equals("done")) {
+      spike[0] = now;
+    }
+    if (backlog[0] < 0 && w.checker.told("wk-1").equals("done")) {
+      backlog[0] = now;
+    }
+    if (now > 22 && (spike[0] < 0 || backlog[0] < 0)) {
+      idle[0] +=
+          w.workers.values().stream().filter(x -> !x.dead).mapToDouble(Worker::freeCpus).sum();
+    }
+    w.sim.after(1000, () -> sample(w, spike, backlog, idle));
+  }
+
+  @Test
+  void costOfTheFullestController() throws Exception {
+    for (int machines : new int[] {1000, 4000}) {
+      for (int shards : new int[] {1, 3, 8}) {
+        Measurements measurements = new Measurements();
+        String shares = shards == 1 ? "" : "shares settle_s: 1\n";
+        String text =
+            """
+            nodes 5
+            zones a,b,c
+            workers report=5 lease=31 cancel=61
+            state rps=250 writes=250 ops=48 value=16
+            set parts: %d
+            %steam t
+            team u
+            team vv
+            team www
+            type c8 cpus=8 mem=32 boot=20 zones=a,b,c
+            capacity %d
+            at 5 submit wk-1 team=t pieces=%d cpus=4 mem=4 run=30
+            at 6 submit wk-2 team=u pieces=%d cpus=4 mem=4 run=30
+            at 60 submit wk-3 team=vv pieces=%d cpus=4 mem=4 run=30 urgency=urgent
+            at 60 submit wk-4 team=www pieces=%d cpus=4 mem=4 run=30
+            until 200
+            """
+                .formatted(
+                    shards, shares, machines, machines, machines, machines / 2, machines / 2);
+        World w = play(text, measurements);
+        long fullest = w.nodes.stream().mapToLong(n -> n.busyNanos).max().orElse(0);
+        long all = w.nodes.stream().mapToLong(n -> n.busyNanos).sum();
+        System.out.printf(
+            Locale.ROOT,
+            "%d machines, %d shards: fullest controller %.2f s, all %.2f s of 200 s; starts %d,"
+                + " moves %d, largest heartbeat %d KB%n",
+            machines,
+            shards,
+            fullest / 1e9,
+            all / 1e9,
+            w.checker.starts,
+            w.shares.counts.getOrDefault("shares.moves.done", 0L),
+            measurements.largestMessage("/peer/beat") / 1024);
+      }
+    }
+  }
+}
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -22,6 +22,7 @@
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
 import shorecrank.rollout.RolloutSetup;
+import shorecrank.storage.JobRecord;
 
 /** Controllers and stand-ins on one simulated clock, with troubles. */
 class World {
@@ -87,6 +88,10 @@
     boolean up;
     long frozenUntil = -1;
     long downSince;
+
+    /** Time in its steps, if that is measured. */
+    long busyNanos;
+
     final double clock;
     final long clockOffset;
     final List<Cut> cuts = new ArrayList<>();
@@ -195,7 +200,9 @@
       List<Output> outputs =
           core.step(in, now, 1_000_000_000_000L + sim.now, sim.random.nextLong());
       if (measurements != null) {
-        measurements.step(in, System.nanoTime() - began, outputs);
+        long took = System.nanoTime() - began;
+        busyNanos += took;
+        measurements.step(in, took, outputs);
       }
       for (Output o : outputs) {
         if (o instanceof Output.Reply r) {
@@ -210,6 +217,8 @@
             looks += n.by();
           }
           shares.count(n.metric(), n.by());
+        } else if (o instanceof Output.Gauge g) {
+          shares.gauge(g.metric(), g.value());
         } else if (o instanceof Output.Log l) {
           if (verbose) {
             System.out.printf("%9.3f %s %s%n", sim.now / 1000.0, label, l.text());
@@ -352,6 +361,34 @@
             .forEach(m -> history.assigned(m.path(0).asText(), m.path(4).asInt()));
       }
     }
+    if (tuning.parts() > 1) {
+      operations.forEach(this::checkNames);
+    }
+  }
+
+  /** No record may name a machine of another shard, whichever of the two is written later. */
+  private void checkNames(JsonNode operation) {
+    String key = operation.path("write").asText();
+    if (key.startsWith(JobRecord.LIVE)) {
+      checkNames(key, operation.path("data"));
+    } else if (key.startsWith("hosts/")) {
+      store.keys(JobRecord.LIVE).forEach(job -> checkNames(job, store.peek(job)));
+    }
+  }
+
+  private void checkNames(String key, JsonNode value) {
+    JobRecord record = JobRecord.read(value);
+    if (record == null) {
+      return;
+    }
+    int shard = PartId.of(record.spec().team(), tuning.parts()).value();
+    for (JobRecord.LiveRange range : record.live()) {
+      Worker worker = workers.get(range.host().value());
+      boolean there = worker != null && !worker.dead;
+      if (there && !history.belongs(range.host().value(), shard)) {
+        checker.broken("named_elsewhere: %s names %s".formatted(key, range.host()));
+      }
+    }
   }
 
   int index(String label) {
