Another number of shards, once taken, is written down before any shard is granted by it

Cause: with no job left, another number was accepted, but stood in the key only with the next move; a later leader then found jobs and the old number, and refused the fleet service. Read besides: newcomers all went to shard 0 while machine types were not known yet.

Change: the new number is written first where the level permits; the leader knows the level in force before it answers heartbeats; a fall of the level takes the number out of the key. Of shards that lack as much, the one with the fewest machines gets a newcomer. The check of names goes by the number of shards in force.

--- a/src/main/java/shorecrank/coordination/Leader.java
+++ b/src/main/java/shorecrank/coordination/Leader.java
@@ -96,6 +96,7 @@
   private final Ports ports;
   private final Election election;
   private final RolloutCoordinator rollout;
+  private final FeatureGate gate;
   private final Map<NodeLabel, Node> nodes = new TreeMap<>();
   private final Map<PartId, Part> parts = new TreeMap<>();
   private final MachineDirectory machines;
@@ -143,6 +144,7 @@
     this.ports = ports;
     this.election = election;
     this.rollout = rollout;
+    this.gate = gate;
     this.machines = new MachineDirectory(ports, election, () -> loadedTerm);
     this.shareAssigner =
         shares == null
@@ -176,6 +178,10 @@
       interrupted = true;
       return;
     }
+    if (rollout != null) {
+      // What may be written is known here before any heartbeat is answered.
+      gate.observe(rollout.notice());
+    }
     assigner.look();
     if (!ready()) {
       boolean loaded = loadedTerm.equals(election.term());
--- a/src/main/java/shorecrank/rebalance/MoveCoordinator.java
+++ b/src/main/java/shorecrank/rebalance/MoveCoordinator.java
@@ -59,6 +59,9 @@
   private static final int MOVE_BYTES = 90;
   private static final double VALUE_FILL = 0.9;
 
+  /** What a machine counts beside its processors where a newcomer's shard is chosen. */
+  private static final double MACHINE_TIE_BREAK = 1e-6;
+
   private static final long LONGEST_MOVE_MS = 3_600_000;
   private static final int HISTOGRAM_DIGITS = 2;
 
@@ -210,9 +213,11 @@
     }
   }
 
-  /** The shard that lacks the most. */
+  /** The shard that lacks the most; of equals, that with the fewest machines. */
   public PartId shardOfNewcomer() {
     Map<PartId, Double> present = present();
+    // While machine types are not known, machines have no processors, but still count.
+    fleet.machines().forEach(m -> present.merge(m.shard(), MACHINE_TIE_BREAK, Double::sum));
     PartId best = new PartId(0);
     double most = Double.NEGATIVE_INFINITY;
     for (int i = 0; i < fleet.shards(); i++) {
--- a/src/main/java/shorecrank/rebalance/ShardNumberCheck.java
+++ b/src/main/java/shorecrank/rebalance/ShardNumberCheck.java
@@ -1,5 +1,6 @@
 package shorecrank.rebalance;
 
+import java.util.List;
 import shorecrank.leadership.LeaderEnvironment;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.StoreMessages;
@@ -25,9 +26,12 @@
     this.configured = configured;
   }
 
-  /** Whether the configured number may be used. */
+  /**
+   * Whether the configured number may be used: it is the one in force, or there is no job by
+   * another. Where moves may be written, the new number is, before any shard is granted by it.
+   */
   boolean passed() {
-    return matches() || jobsAreGone;
+    return matches() || (jobsAreGone && !store.permitted());
   }
 
   private boolean matches() {
@@ -39,6 +43,14 @@
     if (!store.read() || passed() || busy || environment.now().before(retryAt)) {
       return;
     }
+    if (jobsAreGone && store.idle()) {
+      jobsAreGone = false;
+      store.write(
+          store.state().withShards(configured).withActive(List.of()),
+          txn -> {},
+          (result, at) -> {});
+      return;
+    }
     busy = true;
     environment.state(
         "GET",
--- a/src/main/java/shorecrank/rollout/Feature.java
+++ b/src/main/java/shorecrank/rollout/Feature.java
@@ -86,18 +86,23 @@
     return downgrade;
   }
 
-  /** Moves that are under way end with the level; what operators have set stays. */
+  /**
+   * Moves that are under way end with the level, and the number of shards may be changed by whoever
+   * knows nothing of it; what operators have set stays.
+   */
   private static final class SharesWithoutMoves implements Downgrade {
     @Override
     public boolean applies(JsonNode value) {
       SharesState state = ShareMessages.readState(value);
-      return state != null && !state.active().isEmpty();
+      return state != null && (!state.active().isEmpty() || state.shards() > 0);
     }
 
     @Override
     public List<ObjectNode> earlierForms(JsonNode value) {
       SharesState state = ShareMessages.readState(value);
-      return state == null ? List.of() : List.of(ShareMessages.write(state.withActive(List.of())));
+      return state == null
+          ? List.of()
+          : List.of(ShareMessages.write(state.withActive(List.of()).withShards(0)));
     }
   }
 
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -381,7 +381,8 @@
     if (record == null) {
       return;
     }
-    int shard = PartId.of(record.spec().team(), tuning.parts()).value();
+    int shards = rollouts.tuning(nodes.get(0)).parts();
+    int shard = PartId.of(record.spec().team(), shards).value();
     for (JobRecord.LiveRange range : record.live()) {
       Worker worker = workers.get(range.host().value());
       boolean there = worker != null && !worker.dead;
