--- a/src/main/java/shorecrank/client/ClientOptions.java
+++ b/src/main/java/shorecrank/client/ClientOptions.java
@@ -6,11 +6,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import shorecrank.client.ControllerClient.Answer;
+import shorecrank.protocol.Json;
 import shorecrank.protocol.RolloutMessages;
 
 /** The options of every command that asks controllers, and how answers are shown. */
@@ -94,6 +96,33 @@
     return json ? ExitStatus.REFUSED : complain(ExitStatus.REFUSED, answer.reason());
   }
 
+  /** Asks for a status and prints it: as JSON, or as {@code print} has it. */
+  int status(String path, BiConsumer<JsonNode, PrintWriter> print) {
+    try {
+      Answer answer = client().post(path, Json.object());
+      if (answer.status() == OK && !json) {
+        print.accept(answer.body(), out());
+        return ExitStatus.OK;
+      }
+      return show(answer, "");
+    } catch (ControllerClient.Unknown e) {
+      return unknown(e);
+    }
+  }
+
+  /** Sends an order and prints what became of it. */
+  int order(String path, String id, JsonNode order) {
+    try {
+      Answer answer = client().post(path, order);
+      return show(answer, answer.reason());
+    } catch (ControllerClient.Unknown e) {
+      if (!json) {
+        complain(ExitStatus.UNKNOWN, "send the same order again with --id " + id);
+      }
+      return unknown(e);
+    }
+  }
+
   /** The answer when nobody can tell. */
   int unknown(ControllerClient.Unknown e) {
     if (json) {
--- a/src/main/java/shorecrank/client/RolloutCommand.java
+++ b/src/main/java/shorecrank/client/RolloutCommand.java
@@ -5,8 +5,6 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import shorecrank.client.ControllerClient.Answer;
-import shorecrank.client.ControllerClient.Unknown;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.RolloutMessages;
 import shorecrank.protocol.RolloutMessages.Order;
@@ -15,20 +13,9 @@
 /** Watches and steers the feature level of a fleet. */
 @Command(name = "rollout", description = "Watches and steers the feature level of a fleet.")
 final class RolloutCommand {
-  private static final int OK = 200;
-
   @Command(name = "status", description = "Shows the level, the members and what is waited for.")
   int status(@Mixin ClientOptions options) {
-    try {
-      Answer answer = options.client().post(RolloutMessages.STATUS, Json.object());
-      if (answer.status() == OK && !options.json()) {
-        print(answer.body(), options.out());
-        return ExitStatus.OK;
-      }
-      return options.show(answer, "");
-    } catch (Unknown e) {
-      return options.unknown(e);
-    }
+    return options.status(RolloutMessages.STATUS, RolloutCommand::print);
   }
 
   @Command(name = "finalize", description = "Raises the level, once all members support it.")
@@ -65,15 +52,7 @@
       throw options.usage("--level must be 0 or more");
     }
     Order order = new Order(named.idOrNew(), kind, level == null ? -1 : level);
-    try {
-      Answer answer = options.client().post(RolloutMessages.ORDERS, RolloutMessages.write(order));
-      return options.show(answer, answer.reason());
-    } catch (Unknown e) {
-      if (!options.json()) {
-        options.complain(ExitStatus.UNKNOWN, "send the same order again with --id " + order.id());
-      }
-      return options.unknown(e);
-    }
+    return options.order(RolloutMessages.ORDERS, order.id(), RolloutMessages.write(order));
   }
 
   private static void print(JsonNode status, PrintWriter out) {
--- a/src/main/java/shorecrank/client/SharesCommand.java
+++ b/src/main/java/shorecrank/client/SharesCommand.java
@@ -7,8 +7,6 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import shorecrank.client.ControllerClient.Answer;
-import shorecrank.client.ControllerClient.Unknown;
 import shorecrank.protocol.Ids.HostName;
 import shorecrank.protocol.Ids.MoveId;
 import shorecrank.protocol.Ids.PartId;
@@ -22,8 +20,6 @@
 /** Watches and steers which shard has which machines. */
 @Command(name = "shares", description = "Watches and steers which shard has which machines.")
 final class SharesCommand {
-  private static final int OK = 200;
-
   /** Whether an order is only to be judged. */
   static final class DryRun {
     @Option(names = "--dry-run", description = "say what would be done, and do nothing")
@@ -32,16 +28,7 @@
 
   @Command(name = "show", description = "Shows shards, their machines and targets, and moves.")
   int show(@Mixin ClientOptions options) {
-    try {
-      Answer answer = options.client().post(ShareMessages.SHOW, Json.object());
-      if (answer.status() == OK && !options.json()) {
-        print(answer.body(), options.out());
-        return ExitStatus.OK;
-      }
-      return options.show(answer, "");
-    } catch (Unknown e) {
-      return options.unknown(e);
-    }
+    return options.status(ShareMessages.SHOW, SharesCommand::print);
   }
 
   @Command(name = "set", description = "Sets a team's weight, minimum or maximum.")
@@ -130,15 +117,7 @@
   }
 
   private static int order(ClientOptions options, ShareOrder order) {
-    try {
-      Answer answer = options.client().post(ShareMessages.ORDERS, ShareMessages.write(order));
-      return options.show(answer, answer.reason());
-    } catch (Unknown e) {
-      if (!options.json()) {
-        options.complain(ExitStatus.UNKNOWN, "send the same order again with --id " + order.id());
-      }
-      return options.unknown(e);
-    }
+    return options.order(ShareMessages.ORDERS, order.id(), ShareMessages.write(order));
   }
 
   private static void print(JsonNode status, PrintWriter out) {
--- a/src/main/java/shorecrank/coordination/ForeignTasks.java
+++ b/src/main/java/shorecrank/coordination/ForeignTasks.java
@@ -78,14 +78,10 @@
     if (lookup.unreadable) {
       return Verdict.UNKNOWN;
     }
-    boolean named = lookup.elsewhere && nameIt(lookup, machine, run);
+    boolean named = lookup.elsewhere && lookup.named.contains(new Named(machine, run));
     return named ? Verdict.NAMED_ELSEWHERE : Verdict.UNCLAIMED;
   }
 
-  private static boolean nameIt(Lookup lookup, HostName machine, TaskRun run) {
-    return lookup.named.contains(new Named(machine, run));
-  }
-
   /** Once a second: forgets what nobody asks for any more. */
   void tidy() {
     MonotonicTime now = ports.now();
--- a/src/main/java/shorecrank/coordination/MachineCustody.java
+++ b/src/main/java/shorecrank/coordination/MachineCustody.java
@@ -244,7 +244,7 @@
 
   /** The epoch that a worker must have shown before its reports count. */
   static Epoch required(Host h, Epoch ownersFirst) {
-    return h.term.above(ownersFirst) ? h.term : ownersFirst;
+    return Epoch.higher(h.term, ownersFirst);
   }
 
   /**
--- a/src/main/java/shorecrank/coordination/SpareMachineAssigner.java
+++ b/src/main/java/shorecrank/coordination/SpareMachineAssigner.java
@@ -141,7 +141,7 @@
       machines.keep(machine);
       return;
     }
-    Epoch last = machine.term.above(shards.epoch(from)) ? machine.term : shards.epoch(from);
+    Epoch last = Epoch.higher(machine.term, shards.epoch(from));
     if (!shards.epoch(to).above(last)) {
       shards.raiseAbove(to, last);
       return;
--- a/src/main/java/shorecrank/protocol/Ids.java
+++ b/src/main/java/shorecrank/protocol/Ids.java
@@ -75,6 +75,11 @@
   public record Epoch(long value) implements Comparable<Epoch> {
     public static final Epoch NONE = new Epoch(0);
 
+    /** The higher of two. */
+    public static Epoch higher(Epoch one, Epoch other) {
+      return one.above(other) ? one : other;
+    }
+
     public boolean above(Epoch o) {
       return value > o.value;
     }
--- a/src/main/java/shorecrank/rebalance/MoveCoordinator.java
+++ b/src/main/java/shorecrank/rebalance/MoveCoordinator.java
@@ -80,7 +80,6 @@
       MonotonicTime at) {}
 
   private final LeaderEnvironment environment;
-  private final Leadership leadership;
   private final ShareFleet fleet;
   private final ShareSettings settings;
   private final TeamShares teams;
@@ -121,7 +120,6 @@
       List<String> teamNames,
       Supplier<List<String>> reasonsAgainstMoves) {
     this.environment = environment;
-    this.leadership = leadership;
     this.fleet = fleet;
     this.settings = settings;
     this.teams = new TeamShares(teamNames, settings.teams(), fleet.shards());
@@ -324,7 +322,7 @@
   private boolean epochIsAbove(Move move) {
     FleetMachine machine = fleet.machine(move.machine());
     Epoch last = fleet.epoch(move.from());
-    Epoch least = machine != null && machine.term().above(last) ? machine.term() : last;
+    Epoch least = machine == null ? last : Epoch.higher(machine.term(), last);
     if (fleet.owner(move.to()).isEmpty()) {
       return false;
     }
@@ -493,18 +491,10 @@
     environment.gauge("shares.move.ms.p99", moveTimes.getValueAtPercentile(99));
   }
 
-  private Move begin(int offset, HostName machine, PartId from, PartId to, String order) {
-    FleetMachine known = fleet.machine(machine);
-    return new Move(
-        new MoveId(store.state().nextMove() + offset),
-        machine,
-        from,
-        to,
-        known.term(),
-        MovePhase.REQUESTED,
-        order,
-        environment.wallMs(),
-        "");
+  /** A move by need; {@code offset} counts those that begin with it. */
+  private Move begin(int offset, HostName machine, PartId to) {
+    MoveId id = new MoveId(store.state().nextMove() + offset);
+    return fleet.machine(machine).moveTo(to, id, "", environment.wallMs());
   }
 
   /** Machines on which tasks of a shard may run go back to that shard. */
@@ -517,7 +507,7 @@
           if (elsewhere && store.state().moveOf(name) == null && moves.size() < room()) {
             environment.info(
                 "machine reclaimed machine=%s shard=%s assigned=%s", name, shard, machine.shard());
-            moves.add(begin(moves.size(), name, machine.shard(), shard, ""));
+            moves.add(begin(moves.size(), name, shard));
           }
         });
     misplaced.clear();
@@ -537,7 +527,7 @@
             settings.tolerance());
     List<Move> moves = new ArrayList<>();
     for (MovePlanner.Planned planned : planner.plan(most)) {
-      moves.add(begin(moves.size(), planned.machine(), planned.from(), planned.to(), ""));
+      moves.add(begin(moves.size(), planned.machine(), planned.to()));
     }
     return moves;
   }
@@ -589,18 +579,23 @@
 
   // ---- operators -------------------------------------------------------------------------------
 
+  /** Why no order to move machines is taken now; empty if one is. */
+  private List<String> reasonsAgainst() {
+    List<String> reasons = new ArrayList<>(reasonsAgainstMoves.get());
+    if (!store.permitted()) {
+      reasons.add(0, "the feature level in force knows no shares: see rollout status");
+    }
+    return reasons;
+  }
+
   /** Carries an order out, once for each id. */
   public void order(ShareOrder order, OnOutcome then) {
     if (!store.readable() || store.inDoubt()) {
       then.outcome(null);
       return;
     }
-    List<String> against = new ArrayList<>(reasonsAgainstMoves.get());
-    if (!store.permitted()) {
-      against.add(0, "the feature level in force knows no shares: see rollout status");
-    }
     ShareOrders.Decision decision =
-        orders.decide(order, store.state(), against, environment.wallMs());
+        orders.decide(order, store.state(), reasonsAgainst(), environment.wallMs());
     if (decision.next() == null) {
       then.outcome(decision.outcome());
       return;
@@ -620,16 +615,12 @@
     if (!store.readable()) {
       return null;
     }
-    List<String> against = new ArrayList<>(reasonsAgainstMoves.get());
-    if (!store.permitted()) {
-      against.add(0, "the feature level in force knows no shares: see rollout status");
-    }
     return new StatusView(fleet, teams, store.state(), targets)
         .of(
-            against,
+            reasonsAgainst(),
             shard -> reports.containsKey(shard) ? reports.get(shard).demand : null,
             this::ageS,
-            move -> waitsFor(move),
+            this::waitsFor,
             moveTimes);
   }
 
--- a/src/main/java/shorecrank/rebalance/ShareFleet.java
+++ b/src/main/java/shorecrank/rebalance/ShareFleet.java
@@ -10,6 +10,8 @@
 import shorecrank.protocol.Ids.MoveId;
 import shorecrank.protocol.Ids.PartId;
 import shorecrank.protocol.Ids.Revision;
+import shorecrank.protocol.ShareMessages.Move;
+import shorecrank.protocol.ShareMessages.MovePhase;
 import shorecrank.protocol.StoreMessages.Txn;
 
 /** Shards and machines as the leader knows them, and what shares may change of them. */
@@ -21,7 +23,16 @@
    * @param order the order that its owner, or its new owner, is told; NONE if there is none
    */
   record FleetMachine(
-      HostName name, Offer offer, double cpus, PartId shard, Epoch term, MoveId order) {}
+      HostName name, Offer offer, double cpus, PartId shard, Epoch term, MoveId order) {
+    /**
+     * The move of the machine to another shard, as it begins.
+     *
+     * @param by the operator's order that asks for it; empty if it is need
+     */
+    Move moveTo(PartId to, MoveId id, String by, long wallMs) {
+      return new Move(id, name, shard, to, term, MovePhase.REQUESTED, by, wallMs, "");
+    }
+  }
 
   /** How many shards there are. */
   int shards();
--- a/src/main/java/shorecrank/rebalance/ShareOrders.java
+++ b/src/main/java/shorecrank/rebalance/ShareOrders.java
@@ -193,19 +193,8 @@
     }
     List<Move> begun = new ArrayList<>();
     for (HostName name : chosen) {
-      FleetMachine machine = fleet.machine(name);
       MoveId id = new MoveId(state.nextMove() + begun.size());
-      begun.add(
-          new Move(
-              id,
-              name,
-              machine.shard(),
-              order.to(),
-              machine.term(),
-              MovePhase.REQUESTED,
-              order.id(),
-              wallMs,
-              ""));
+      begun.add(fleet.machine(name).moveTo(order.to(), id, order.id(), wallMs));
     }
     String text = "%d machines move to %s: %s".formatted(begun.size(), order.to(), names(chosen));
     List<MoveId> ids = begun.stream().map(Move::id).toList();
