Red: a start that is given up counts no more for its team while the record still names it

What callers saw: a team ran 46, then 50 CPUs of 44 after a change of owner.

A new rule of the scenario checker, recorded_use, looks at every transaction: it must not raise what the records of a team name, of attempts that still run or can yet start, above the team's limit. The next owner starts what records name.

The scenario quota-start-given-up loses starts together with the answers that carry them while another job of the team waits.

--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -27,6 +27,7 @@
             new DependencyRule(world, this),
             new RanTwiceRule(world, this),
             new QuotaRule(world, this),
+            new RecordedUseRule(world, this),
             new WrongPlaceRule(world, this),
             new RanCancelledRule(world, this),
             new WentBackRule(world, this),
--- /dev/null
+++ b/src/test/java/shorecrank/sim/RecordedUseRule.java
@@ -0,0 +1,91 @@
+package shorecrank.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.Map;
+import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.AttemptRange;
+
+/**
+ * The design's claim about quotas: no transaction raises what the records of a team name, of
+ * attempts that still run or can yet start, above the team's limit. The next owner starts them all.
+ */
+final class RecordedUseRule extends Rule {
+  /** A stored value and the record that it holds. */
+  private record Decoded(JsonNode value, JobRecord record) {}
+
+  /** The records that transactions have written, by key; null for those without a limit. */
+  private final Map<String, Decoded> records = new HashMap<>();
+
+  RecordedUseRule(World world, Checker checker) {
+    super(world, checker);
+  }
+
+  @Override
+  void applying(JsonNode operations) {
+    Map<String, JsonNode> written = new HashMap<>();
+    for (JsonNode operation : operations) {
+      String key = operation.path("write").asText();
+      if (key.startsWith(JobRecord.LIVE)) {
+        written.put(key, operation.path("data"));
+      }
+    }
+    if (written.isEmpty() || world().site.teams().isEmpty()) {
+      return;
+    }
+    records.keySet().forEach(this::refresh);
+    Map<String, Double> before = cpusByTeam();
+    written.forEach(this::decode);
+    cpusByTeam().forEach((team, cpus) -> check(team, before.getOrDefault(team, 0.0), cpus));
+  }
+
+  private void check(String team, double before, double after) {
+    if (after > before && !world().site.isWithinLimit(team, after)) {
+      report("recorded_use: records of team %s name %s CPUs".formatted(team, after));
+    }
+  }
+
+  /** Takes in what came into a record otherwise, or that it is gone. */
+  private void refresh(String key) {
+    JsonNode stored = world().store.peek(key);
+    if (stored != records.get(key).value) {
+      decode(key, stored);
+    }
+  }
+
+  private void decode(String key, JsonNode value) {
+    JobRecord record = JobRecord.read(value);
+    boolean isLimited = record != null && world().site.isLimited(record.spec().team());
+    records.put(key, new Decoded(value, isLimited ? record : null));
+  }
+
+  private Map<String, Double> cpusByTeam() {
+    Map<String, Double> cpus = new HashMap<>();
+    for (Decoded decoded : records.values()) {
+      JobRecord record = decoded.record;
+      if (record != null) {
+        double used = usableAttempts(record) * record.spec().cpus();
+        cpus.merge(record.spec().team(), used, Double::sum);
+      }
+    }
+    return cpus;
+  }
+
+  private int usableAttempts(JobRecord record) {
+    int usable = 0;
+    for (AttemptRange range : record.live()) {
+      SimulatedWorker worker = world().worker(range.machine().value()).orElse(null);
+      if (worker == null || worker.incarnation() != range.incarnation().value()) {
+        continue;
+      }
+      for (int index = range.first(); index < range.first() + range.count(); index++) {
+        String task = record.spec().id().value() + "/" + index;
+        if (!record.done().get(index)
+            && worker.tasks().mayRun(task, range.attempt().value(), record.cancelled())) {
+          usable++;
+        }
+      }
+    }
+    return usable;
+  }
+}
--- a/src/test/java/shorecrank/sim/ScenarioTest.java
+++ b/src/test/java/shorecrank/sim/ScenarioTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeFalse;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +25,7 @@
     assertTrue(files.size() >= 24, "scenario files are missing");
     String only = System.getProperty("scenario", "");
     DigestFile digests = DigestFile.create();
+    KnownRed knownRed = KnownRed.read();
     List<DynamicTest> tests = new ArrayList<>();
     for (Path p : files) {
       String name = p.getFileName().toString().replace(".txt", "");
@@ -38,6 +40,7 @@
             DynamicTest.dynamicTest(
                 name + " seed " + s,
                 () -> {
+                  assumeFalse(only.isEmpty() && knownRed.hasScenario(name), "known to be red");
                   Scenario scenario = new Scenario(name, Files.readString(p));
                   OutputDigest digest = digests.newDigest();
                   scenario.digestWith(digest);
--- a/src/test/java/shorecrank/sim/Site.java
+++ b/src/test/java/shorecrank/sim/Site.java
@@ -57,6 +57,11 @@
     return Collections.unmodifiableMap(teams);
   }
 
+  /** Whether a team has a limit. */
+  boolean isLimited(String team) {
+    return teams.containsKey(team) && teams.get(team).limitCpus() > 0;
+  }
+
   /** Whether a team may use so many processors; one that is not known may use any. */
   boolean isWithinLimit(String team, double cpus) {
     return !teams.containsKey(team) || teams.get(team).allows(cpus);
--- a/src/test/java/shorecrank/sim/TaskRulesTest.java
+++ b/src/test/java/shorecrank/sim/TaskRulesTest.java
@@ -53,6 +53,32 @@
     world.assertBroken("quota: team t uses 12.0");
   }
 
+  @Test
+  void recordsThatNameMoreThanATeamsLimitAreFound() throws Exception {
+    world.accept("wk-1", JobPlan.builder().cpus(8));
+    world.accept("wk-2", JobPlan.builder().cpus(1));
+    world.write(JobRecord.LIVE + "wk-1", world.record("wk-1", 1).write());
+    world.write(JobRecord.LIVE + "wk-1", world.record("wk-1", 2).write());
+    world.assertSound();
+    world.write(JobRecord.LIVE + "wk-2", world.record("wk-2", 2).write());
+    world.write(JobRecord.LIVE + "wk-2", world.record("wk-2", 2).write());
+    world.assertBroken("recorded_use: records of team t name 9.0 CPUs");
+  }
+
+  @Test
+  void recordedAttemptsThatCanStartNoMoreDontCount() throws Exception {
+    world.accept("wk-1", JobPlan.builder().cpus(8));
+    world.accept("wk-2", JobPlan.builder().cpus(8));
+    world.accept("wk-3", JobPlan.builder().cpus(8));
+    world.writeEpoch(0, 1);
+    world.write(JobRecord.LIVE + "wk-1", world.record("wk-1", 1).write());
+    world.commandStart(1, "wk-1/0", 1);
+    world.commandStop(1, "wk-1/0", 1);
+    world.write(JobRecord.LIVE + "wk-2", world.record("wk-2", 2).marked().write());
+    world.write(JobRecord.LIVE + "wk-3", world.record("wk-3", 3).write());
+    world.assertSound();
+  }
+
   @Test
   void aTaskInAnotherZoneIsInTheWrongPlace() {
     world.accept("wk-1", JobPlan.builder().zone("b"));
--- a/src/test/java/shorecrank/sim/WorkerTasks.java
+++ b/src/test/java/shorecrank/sim/WorkerTasks.java
@@ -46,6 +46,12 @@
     return tasks.values().stream().anyMatch(task -> task.isOnMachine() && task.job().equals(job));
   }
 
+  /** Whether an attempt has not exited, or may yet be started unless its job is cancelled. */
+  boolean mayRun(String task, long attempt, boolean isCancelled) {
+    SimulatedTask held = tasks.get(key(task, attempt));
+    return held == null ? !isCancelled : !held.isExited();
+  }
+
   /** Processors that no task uses or waits to use. */
   double freeCpus() {
     double used = 0;
