Log who placed, started and gave up what, and what a takeover read

What was missing: the records of the quota incident don't tell who placed what when, what was given up and why, or what the next owner read before it started tasks.

Change: placement.committed (with the revision behind it), task.start.sent, task.withdrawn (with reason, heartbeat and the revision that still names the attempts), machine.answer_missed (the first miss, which decided here), team.use and team.quota.exceeded at each takeover; shard.acquired says token and writer, shard.recovered attempts, claims to come and how long reading took. Counters for why a heartbeat was only answered with a renewal and why a status was told; gauges of what teams use.

--- a/src/main/java/shorecrank/coordination/model/CommandTokens.java
+++ b/src/main/java/shorecrank/coordination/model/CommandTokens.java
@@ -44,7 +44,7 @@
   }
 
   /** The highest token that the worker has shown. */
-  FencingToken shown() {
+  public FencingToken shown() {
     return shown;
   }
 
--- a/src/main/java/shorecrank/coordination/model/JobRecordState.java
+++ b/src/main/java/shorecrank/coordination/model/JobRecordState.java
@@ -40,6 +40,12 @@
   /** So many more attempt ranges fit into the record; known from its last write on. */
   private int rangesLeft = Integer.MAX_VALUE;
 
+  /** Whether something was placed that the next write holds. */
+  private boolean placementDue;
+
+  /** Whether the last write that was sent holds a placement. */
+  private boolean placementSent;
+
   /**
    * @param life a number that no other object of this process has that writes this record
    */
@@ -159,6 +165,8 @@
   public void beginWrite() {
     inFlight = true;
     sequence++;
+    placementSent = placementDue;
+    placementDue = false;
     urgency = WriteUrgency.NONE;
   }
 
@@ -260,5 +268,11 @@
   /** A further attempt range was placed. */
   public void takeRange() {
     rangesLeft--;
+    placementDue = true;
+  }
+
+  /** Whether the last write that was sent holds a placement. */
+  public boolean isPlacementSent() {
+    return placementSent;
   }
 }
--- a/src/main/java/shorecrank/coordination/model/TeamQuotas.java
+++ b/src/main/java/shorecrank/coordination/model/TeamQuotas.java
@@ -1,7 +1,10 @@
 package shorecrank.coordination.model;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import shorecrank.config.NodeConfig.Team;
 import shorecrank.protocol.JobSpec;
@@ -82,6 +85,19 @@
     usage.gpus -= spec.gpus();
   }
 
+  /** What the teams with a limit use, in the order of their names; once they have used any. */
+  public List<TeamUse> uses() {
+    List<TeamUse> uses = new ArrayList<>();
+    usageByTeam.forEach(
+        (name, usage) -> {
+          if (isLimited(name)) {
+            uses.add(new TeamUse(teams.get(name), usage.cpus, usage.gpus));
+          }
+        });
+    uses.sort(Comparator.comparing(use -> use.team().name()));
+    return uses;
+  }
+
   /** What a team may still take; nothing if the platform's file does not name the team. */
   public Headroom headroom(String name) {
     Team team = teams.get(name);
--- a/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
+++ b/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
@@ -8,6 +8,7 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.WorkerSession;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.TaskAttemptId;
@@ -174,15 +175,33 @@
 
   private void addStarts(
       Machine machine, boolean direct, Set<TaskAttempt> listed, List<WorkerCommand> commands) {
+    int first = 0;
     for (TaskAttempt attempt : machine.attempts()) {
       if (!listed.contains(attempt) && mayStart(machine, attempt)) {
         commands.add(new Start(attempt.id()));
         if (attempt.commandStart(direct)) {
+          first++;
           context.count("task.commanded");
           context.count("task.commanded.ms", context.now().since(attempt.placedAt()));
         }
       }
     }
+    if (first > 0) {
+      logStarts(machine, first, direct);
+    }
+  }
+
+  private void logStarts(Machine machine, int starts, boolean direct) {
+    WorkerSession session = machine.session();
+    context.infoLimited(
+        "task.start.sent",
+        "machine=%s incarnation=%d starts=%d way=%s after_heartbeat=%d token_shown=%d",
+        machine.name(),
+        session.incarnation().value(),
+        starts,
+        direct ? "direct" : "answer",
+        session.sequence(),
+        session.tokens().shown().value());
   }
 
   private static boolean mayStart(Machine machine, TaskAttempt attempt) {
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatHandler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatHandler.java
@@ -60,11 +60,13 @@
     }
     boolean isConsecutive = takeConfirmed(machine, heartbeat);
     if (!recovery.isReady()) {
+      context.count("report.renewed.recovering");
       replies.renewOnly(reply, machine, heartbeat);
       return;
     }
     boolean freed = reconcile(machine, heartbeat, isConsecutive);
     if (!mayCommand) {
+      context.count("report.renewed.no_lease");
       replies.renewOnly(reply, machine, heartbeat);
     } else if ((freed || HeartbeatReplies.awaitsCommit(machine))
         && context.settings().parkMs() > 0) {
@@ -118,6 +120,18 @@
     return freed;
   }
 
+  private void logMissedAnswer(Machine machine, boolean isConsecutive) {
+    WorkerSession session = machine.session();
+    context.count("machine.answer_missed");
+    context.infoLimited(
+        "machine.answer_missed",
+        "machine=%s incarnation=%d heartbeat=%d sign=%s",
+        machine.name(),
+        session.incarnation().value(),
+        session.sequence(),
+        isConsecutive ? "start_not_listed" : "gap_in_numbers");
+  }
+
   /**
    * Records whether the machine gets the answers, as far as its heartbeats show. A worker that gets
    * a 200 stays here and takes the next number for its next heartbeat; one that does not asks other
@@ -125,6 +139,7 @@
    */
   private void recordResponsiveness(Machine machine, boolean isConsecutive) {
     boolean taken = isConsecutive;
+    boolean wasUnresponsive = machine.session().isUnresponsive();
     for (TaskAttempt attempt : machine.attempts()) {
       if (attempt.takeStartInLastAnswer()) {
         taken &= attempt.isSeen();
@@ -136,7 +151,11 @@
         context.info("machine.unresponsive machine=%s", machine.name());
         context.count("machine.deaf");
       }
-      case UNCHANGED -> {}
+      case UNCHANGED -> {
+        if (!taken && !wasUnresponsive) {
+          logMissedAnswer(machine, isConsecutive);
+        }
+      }
     }
   }
 }
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
@@ -1,6 +1,7 @@
 package shorecrank.coordination.shard;
 
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
@@ -55,14 +56,16 @@
         machine.addUnrecordedTask(job, index);
       }
     }
+    WithdrawalLog log = new WithdrawalLog(context, machine);
     for (TaskAttempt attempt : unlisted) {
-      freed |= reconcileUnlisted(machine, attempt, heartbeat);
+      freed |= reconcileUnlisted(machine, attempt, heartbeat, log);
     }
+    log.write();
     return freed;
   }
 
   private boolean reconcileUnlisted(
-      Machine machine, TaskAttempt attempt, WorkerHeartbeat heartbeat) {
+      Machine machine, TaskAttempt attempt, WorkerHeartbeat heartbeat, WithdrawalLog log) {
     if (attempt.incarnation().compareTo(heartbeat.incarnation()) < 0) {
       jobs.lose(attempt);
       return true;
@@ -73,26 +76,44 @@
     if (attempt.isSeen()) {
       // It left the list without a reap: only a new incarnation does that.
       context.error("task.vanished machine=%s task=%s", machine.name(), attempt.id());
-      jobs.lose(attempt);
+      withdraw(attempt, WithdrawalReason.VANISHED, log);
       return false;
     }
-    if (isStartExcluded(machine, attempt)) {
-      // The worker executes what an answer says or drops it whole, and this heartbeat is younger
-      // than all earlier answers: what it does not list was never started and never will be.
-      jobs.lose(attempt);
-      return true;
+    if (mayBeStartedByCommandUnderWay(machine, attempt)) {
+      return false;
+    }
+    // The worker executes what an answer says or drops it whole, and this heartbeat is younger
+    // than all earlier answers: what it does not list was never started, and never will be if
+    // nothing is to start it.
+    Optional<WithdrawalReason> reason = reasonNotToStart(machine, attempt);
+    reason.ifPresent(found -> withdraw(attempt, found, log));
+    return reason.isPresent();
+  }
+
+  private static boolean mayBeStartedByCommandUnderWay(Machine machine, TaskAttempt attempt) {
+    return !machine.session().isConfirmed()
+        || machine.session().tokens().mayDirectCommandStart(attempt.id());
+  }
+
+  /** Why no command that is to come starts the attempt; empty if one may. */
+  private static Optional<WithdrawalReason> reasonNotToStart(Machine machine, TaskAttempt attempt) {
+    if (attempt.job().isCancelled()) {
+      return Optional.of(WithdrawalReason.CANCELLED);
+    }
+    if (attempt.isRevoked()) {
+      return Optional.of(WithdrawalReason.REVOKED);
+    }
+    if (machine.isLeaving()) {
+      return Optional.of(WithdrawalReason.MACHINE_LEAVING);
     }
-    return false;
+    return machine.session().isUnresponsive()
+        ? Optional.of(WithdrawalReason.MACHINE_UNRESPONSIVE)
+        : Optional.empty();
   }
 
-  /** Whether no command that may yet act, and none that is to come, starts the attempt. */
-  private static boolean isStartExcluded(Machine machine, TaskAttempt attempt) {
-    return machine.session().isConfirmed()
-        && !machine.session().tokens().mayDirectCommandStart(attempt.id())
-        && (attempt.job().isCancelled()
-            || attempt.isRevoked()
-            || machine.isLeaving()
-            || machine.session().isUnresponsive());
+  private void withdraw(TaskAttempt attempt, WithdrawalReason reason, WithdrawalLog log) {
+    jobs.lose(attempt);
+    log.add(attempt, reason);
   }
 
   private void observed(Machine machine, TaskAttempt attempt, TaskStatus status) {
--- a/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
+++ b/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
@@ -84,6 +84,7 @@
   private final SchedulingQueue queue;
   private final WriteOutcomeResolver resolver;
   private final Listener listener;
+  private final PlacementLog placementLog;
   private int inFlight;
   private MonotonicTime pausedUntil = MonotonicTime.NEVER;
 
@@ -102,6 +103,7 @@
     this.queue = queue;
     this.resolver = resolver;
     this.listener = listener;
+    this.placementLog = new PlacementLog(context);
   }
 
   /** Whether a transaction has no answer yet. */
@@ -325,6 +327,7 @@
     if (write.isFinal()) {
       listener.ended(job, write.status());
     } else {
+      placementLog.committed(write, revision, lease.epoch());
       resolver.rereadIfOutdated(job);
     }
   }
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/shard/PlacementLog.java
@@ -0,0 +1,62 @@
+package shorecrank.coordination.shard;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.step.StepContext;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.MachineName;
+import shorecrank.protocol.Ids.Revision;
+
+/** Logs the placements that committed writes hold. */
+final class PlacementLog {
+  /** So many machines of one placement are named in the log. */
+  private static final int MOST_MACHINES = 8;
+
+  private final StepContext context;
+
+  PlacementLog(StepContext context) {
+    this.context = context;
+  }
+
+  /** A write of a job's record is committed at a revision, under an epoch. */
+  void committed(RecordWrite write, Revision revision, Epoch epoch) {
+    Job job = write.job();
+    if (!job.record().isPlacementSent()) {
+      return;
+    }
+    Map<MachineName, Integer> tasksByMachine = new LinkedHashMap<>();
+    int tasks = 0;
+    for (TaskAttempt attempt : job.tasks().attempts()) {
+      if (attempt.writeSequence() == write.sequence()) {
+        tasksByMachine.merge(attempt.machine().name(), 1, Integer::sum);
+        tasks++;
+      }
+    }
+    context.count("task.placed", tasks);
+    context.infoLimited(
+        "placement.committed",
+        "job=%s team=%s tasks=%d on=%s epoch=%s revision=%s",
+        job.id(),
+        job.spec().team(),
+        tasks,
+        summary(tasksByMachine),
+        epoch,
+        revision);
+  }
+
+  private static String summary(Map<MachineName, Integer> tasksByMachine) {
+    List<String> machines = new ArrayList<>();
+    for (Map.Entry<MachineName, Integer> placed : tasksByMachine.entrySet()) {
+      if (machines.size() == MOST_MACHINES) {
+        machines.add("and-" + (tasksByMachine.size() - MOST_MACHINES) + "-more");
+        break;
+      }
+      machines.add(placed.getKey() + ":" + placed.getValue());
+    }
+    return String.join(",", machines);
+  }
+}
--- a/src/main/java/shorecrank/coordination/shard/ShardJobs.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardJobs.java
@@ -2,12 +2,14 @@
 
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.TaskAttempt;
 import shorecrank.coordination.model.TeamQuotas;
+import shorecrank.coordination.model.TeamUse;
 import shorecrank.coordination.model.WriteUrgency;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
@@ -67,6 +69,11 @@
     return quotas.isLimited(team);
   }
 
+  /** What the teams with a limit use. */
+  List<TeamUse> teamUses() {
+    return quotas.uses();
+  }
+
   // ---- attempts --------------------------------------------------------------------------------
 
   /** Adds an attempt to its job and machine. */
--- a/src/main/java/shorecrank/coordination/shard/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardOwner.java
@@ -19,6 +19,7 @@
 import shorecrank.protocol.HeartbeatMessages.MachineHandover;
 import shorecrank.protocol.HeartbeatMessages.ShardReport;
 import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.FencingToken;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.MachineName;
 import shorecrank.protocol.Ids.MonotonicTime;
@@ -111,7 +112,9 @@
     this.statusQueries = new StatusQueries(context, jobs, dependencies);
     this.demand = new ShardDemandReporter(context, state);
     this.sharesEnabled = sharesEnabled;
-    context.info("shard.acquired shard=%s epoch=%s", shard, epoch);
+    context.info(
+        "shard.acquired shard=%s epoch=%s token=%s writer=%s",
+        shard, epoch, FencingToken.of(epoch).value(), context.writer());
     context.count("part.takeover");
   }
 
@@ -277,6 +280,7 @@
     machines.expireLeases(liveness);
     machines.stopSavingTasks();
     UtilizationGauges.update(context, state);
+    UtilizationGauges.updateTeams(context, jobs.teamUses());
     missesManyWorkers = liveness.missesManyWorkers();
     jobs.reviewAll();
   }
--- a/src/main/java/shorecrank/coordination/shard/ShardRecovery.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardRecovery.java
@@ -173,9 +173,7 @@
     shownUpTo(began);
     ready = true;
     readyAt = context.now();
-    context.info(
-        "shard.recovered shard=%s epoch=%s jobs=%d revision=%d",
-        lease.shard(), lease.epoch(), jobs.all().size(), knownRevision);
+    new TakeoverLog(context, lease, jobs).recovered(knownRevision, began);
   }
 
   private boolean isOfShard(JobRecord record) {
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -205,6 +205,7 @@
     comparison.queries.forEach(
         (id, callbacks) -> {
           if (result.isCommitted()) {
+            context.count("status.unchanged");
             tell(callbacks, comparison.statuses.get(id));
           } else if (comparisonsLeft > 1
               && !failedKeys.isEmpty()
@@ -213,6 +214,7 @@
             // compared once more.
             again.put(id, callbacks);
           } else {
+            context.count("status.changed");
             tell(callbacks, ended.getIfPresent(id));
           }
         });
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
@@ -0,0 +1,69 @@
+package shorecrank.coordination.shard;
+
+import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.TeamUse;
+import shorecrank.coordination.step.StepContext;
+import shorecrank.protocol.Ids.MonotonicTime;
+
+/** Logs what an owner has read of its shard's records, and where that leaves the teams. */
+final class TakeoverLog {
+  private final StepContext context;
+  private final ShardLease lease;
+  private final ShardJobs jobs;
+
+  TakeoverLog(StepContext context, ShardLease lease, ShardJobs jobs) {
+    this.context = context;
+    this.lease = lease;
+    this.jobs = jobs;
+  }
+
+  /**
+   * All records have been read.
+   *
+   * @param revision of the store at the first page
+   * @param began when the first page was asked for
+   */
+  void recovered(long revision, MonotonicTime began) {
+    int attempts = 0;
+    int toClaim = 0;
+    for (Job job : jobs.all().values()) {
+      attempts += job.tasks().attemptCount();
+      toClaim += job.record().isUseKnown() ? 0 : 1;
+    }
+    context.info(
+        "shard.recovered shard=%s epoch=%s jobs=%d revision=%d attempts=%d to_claim=%d read_ms=%d",
+        lease.shard(),
+        lease.epoch(),
+        jobs.all().size(),
+        revision,
+        attempts,
+        toClaim,
+        context.now().since(began));
+    jobs.teamUses().forEach(use -> logUse(use, revision));
+  }
+
+  private void logUse(TeamUse use, long revision) {
+    context.info(
+        "team.use team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f shard=%s epoch=%s"
+            + " revision=%d",
+        use.team().name(),
+        use.cpus(),
+        use.team().cpusMax(),
+        use.gpus(),
+        use.team().gpusMax(),
+        lease.shard(),
+        lease.epoch(),
+        revision);
+    if (use.isAboveLimit()) {
+      context.error(
+          "team.quota.exceeded team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f revision=%d",
+          use.team().name(),
+          use.cpus(),
+          use.team().cpusMax(),
+          use.gpus(),
+          use.team().gpusMax(),
+          revision);
+      context.count("quota.exceeded");
+    }
+  }
+}
--- a/src/main/java/shorecrank/coordination/shard/UtilizationGauges.java
+++ b/src/main/java/shorecrank/coordination/shard/UtilizationGauges.java
@@ -1,8 +1,10 @@
 package shorecrank.coordination.shard;
 
+import java.util.List;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.TeamUse;
 import shorecrank.coordination.scheduling.ShardView;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.WorkerMessages.TaskState;
@@ -46,4 +48,12 @@
     context.gauge("cpus.running", running);
     context.gauge("cpus.waited_for", waiting);
   }
+
+  /** Sets the gauges of what teams use, a pair for each team with a limit. */
+  static void updateTeams(StepContext context, List<TeamUse> uses) {
+    for (TeamUse use : uses) {
+      context.gauge("team.cpus.counted." + use.team().name(), use.cpus());
+      context.gauge("team.gpus.counted." + use.team().name(), use.gpus());
+    }
+  }
 }
--- a/src/main/java/shorecrank/coordination/step/StepContext.java
+++ b/src/main/java/shorecrank/coordination/step/StepContext.java
@@ -30,6 +30,7 @@
   private final CancellationEvidence cancellationEvidence;
   private final PendingCalls calls = new PendingCalls();
   private final StepOutputs outputs = new StepOutputs();
+  private final EventLogLimiter logLimiter = new EventLogLimiter();
   private final StoreReachability storeReachability;
   private final StateStore store = new StepStateStore(this);
   private final PeerClient peers = new PeerClient(this);
@@ -272,6 +273,20 @@
     outputs.log(Output.Level.INFO, String.format(format, args));
   }
 
+  /**
+   * Logs an event that a large fleet has often: no more than a few lines a second; those left out
+   * are counted.
+   *
+   * @param format of the event's fields
+   */
+  public void infoLimited(String event, String format, Object... args) {
+    if (logLimiter.tryLog(event, now)) {
+      info(event + " " + format, args);
+    } else {
+      count("log.left_out");
+    }
+  }
+
   /** Logs an event that somebody should look at. */
   public void error(String format, Object... args) {
     outputs.log(Output.Level.ERROR, String.format(format, args));
