An attempt that was never started counts for its team until its record names it no more

What callers saw: team founders-desk-15 ran 46, then 50 CPUs of 44 after crankhost-0 had ended.

Cause: use was released in memory before the state service knew. A committed attempt that its worker does not list was given up once its start was excluded (revoked, machine leaving or unresponsive), and its team's quota came free at once; the record that names it was rewritten later, after merge_ms and behind all placements. What came free went to another job, whose placement was committed at once. If the owner ends in between, the records name both, and the next owner starts the first: "never will be started" held for one owner only. The class: a right that is given up in memory before the write that gives it up.

Change: such an attempt is withdrawn. It counts until a write of its record that does not name it is committed, or found to be; only tasks of its own job may take its place before, since one write names these and no more the others. The write goes out at once if the team has a limit. Attempts that exited, whose incarnation ended, whose machine is gone or whose job is marked as cancelled can be started by no owner and are released at once as before.

--- a/src/main/java/shorecrank/coordination/model/Job.java
+++ b/src/main/java/shorecrank/coordination/model/Job.java
@@ -22,6 +22,7 @@
   private final JobTasks tasks;
   private final JobRecordState record;
   private final JobSchedulingState scheduling;
+  private final WithdrawnAttempts withdrawn = new WithdrawnAttempts();
   private boolean cancelled;
 
   /** The shard's jobs with something to write; each adds itself. */
@@ -67,6 +68,11 @@
     return record;
   }
 
+  /** Attempts that were given up before they started, while the record may name them. */
+  public WithdrawnAttempts withdrawn() {
+    return withdrawn;
+  }
+
   /** When and how urgently its tasks are placed. */
   public JobSchedulingState scheduling() {
     return scheduling;
@@ -114,6 +120,24 @@
     tasks.remove(attempt);
   }
 
+  /** Removes an attempt that was never started; the next write of the record does not name it. */
+  public void withdraw(TaskAttempt attempt) {
+    tasks.remove(attempt);
+    withdrawn.add(record.nextSequence());
+  }
+
+  /** Forgets withdrawn attempts that the record names no more; returns how many. */
+  public int settleWithdrawn() {
+    return withdrawn.settle(record.committedSequence());
+  }
+
+  /**
+   * Forgets all withdrawn attempts, as the record was read anew or is no more; returns how many.
+   */
+  public int clearWithdrawn() {
+    return withdrawn.clear();
+  }
+
   /** How many tasks wait to be placed. */
   public int queued() {
     return cancelled || !scheduling.isReady() ? 0 : tasks.freeCount();
--- a/src/main/java/shorecrank/coordination/model/TeamQuotas.java
+++ b/src/main/java/shorecrank/coordination/model/TeamQuotas.java
@@ -24,18 +24,23 @@
       this.gpus = gpus;
     }
 
-    /** How many of a job's queued tasks fit. */
+    /**
+     * How many of a job's queued tasks fit. They may take the place of the job's own withdrawn
+     * attempts: the write that names the ones is the one that names the others no more.
+     */
     public int queuedTasksThatFit(Job job) {
+      JobSpec spec = job.spec();
+      int withdrawn = job.withdrawn().count();
       double tasks = job.queued();
-      if (job.spec().cpus() > 0) {
-        tasks = Math.min(tasks, Math.floor(cpus / job.spec().cpus() + EPSILON));
-      }
-      if (job.spec().gpus() > 0) {
-        tasks = Math.min(tasks, Math.floor(gpus / job.spec().gpus() + EPSILON));
-      }
+      tasks = fit(tasks, spec.cpus(), cpus + withdrawn * spec.cpus());
+      tasks = fit(tasks, spec.gpus(), gpus + withdrawn * spec.gpus());
       return (int) Math.max(0, tasks);
     }
 
+    private static double fit(double tasks, double each, double room) {
+      return each <= 0 ? tasks : Math.min(tasks, Math.floor(room / each + EPSILON));
+    }
+
     /** Takes room for that many tasks. */
     public void take(JobSpec spec, int tasks) {
       cpus -= tasks * spec.cpus();
@@ -43,10 +48,24 @@
     }
   }
 
-  /** Processors and accelerators of the attempts that records name. */
-  private static final class Usage {
+  /** Processors and accelerators of some attempts. */
+  private static final class Amount {
     double cpus;
     double gpus;
+
+    void add(JobSpec spec, int attempts) {
+      cpus += attempts * spec.cpus();
+      gpus += attempts * spec.gpus();
+    }
+  }
+
+  /** What counts of one team. */
+  private static final class Usage {
+    /** Attempts from their placement until they are surely off their machines. */
+    final Amount placed = new Amount();
+
+    /** Attempts that were given up before they started, while records may still name them. */
+    final Amount withdrawn = new Amount();
   }
 
   private final Map<String, Team> teams;
@@ -73,25 +92,49 @@
 
   /** Counts an attempt of a job. */
   public void allocate(JobSpec spec) {
-    Usage usage = usageByTeam.computeIfAbsent(spec.team(), name -> new Usage());
-    usage.cpus += spec.cpus();
-    usage.gpus += spec.gpus();
+    usage(spec).placed.add(spec, 1);
   }
 
-  /** No longer counts an attempt of a job. */
+  /** No longer counts an attempt of a job, which can't run from now on. */
   public void release(JobSpec spec) {
-    Usage usage = usageByTeam.get(spec.team());
-    usage.cpus -= spec.cpus();
-    usage.gpus -= spec.gpus();
+    usage(spec).placed.add(spec, -1);
+  }
+
+  /** An attempt was given up before it started; it counts until it is settled. */
+  public void withdraw(JobSpec spec) {
+    usage(spec).placed.add(spec, -1);
+    usage(spec).withdrawn.add(spec, 1);
+  }
+
+  /** No record names so many withdrawn attempts of a job any more. */
+  public void settleWithdrawn(JobSpec spec, int attempts) {
+    usage(spec).withdrawn.add(spec, -attempts);
+  }
+
+  private Usage usage(JobSpec spec) {
+    return usageByTeam.computeIfAbsent(spec.team(), name -> new Usage());
+  }
+
+  /** Whether the attempts that are placed take more than the team's limit. */
+  public boolean isAboveLimit(String name) {
+    Team team = teams.get(name);
+    Usage usage = usageByTeam.get(name);
+    return isLimited(team) && usage != null && use(team, usage).isAboveLimit();
+  }
+
+  private static TeamUse use(Team team, Usage usage) {
+    Amount placed = usage.placed;
+    Amount withdrawn = usage.withdrawn;
+    return new TeamUse(team, placed.cpus, placed.gpus, withdrawn.cpus, withdrawn.gpus);
   }
 
-  /** What the teams with a limit use, in the order of their names; once they have used any. */
+  /** What the teams with a limit use, in the order of their names, once they have used any. */
   public List<TeamUse> uses() {
     List<TeamUse> uses = new ArrayList<>();
     usageByTeam.forEach(
         (name, usage) -> {
           if (isLimited(name)) {
-            uses.add(new TeamUse(teams.get(name), usage.cpus, usage.gpus));
+            uses.add(use(teams.get(name), usage));
           }
         });
     uses.sort(Comparator.comparing(use -> use.team().name()));
@@ -113,8 +156,8 @@
     }
     Usage usage = usageByTeam.get(name);
     if (usage != null) {
-      headroom.cpus -= usage.cpus;
-      headroom.gpus -= usage.gpus;
+      headroom.cpus -= usage.placed.cpus + usage.withdrawn.cpus;
+      headroom.gpus -= usage.placed.gpus + usage.withdrawn.gpus;
     }
     for (Machine machine : machines) {
       for (Machine.UnrecordedTask unrecorded : machine.unrecordedTasks()) {
--- a/src/main/java/shorecrank/coordination/model/TeamUse.java
+++ b/src/main/java/shorecrank/coordination/model/TeamUse.java
@@ -6,14 +6,17 @@
  * What a team uses of its limits.
  *
  * @param team with its limits
- * @param cpus processors of all that counts
- * @param gpus accelerators of all that counts
+ * @param cpus processors of the attempts that are placed
+ * @param gpus accelerators of the attempts that are placed
+ * @param withdrawnCpus processors of the attempts that only records may still name
+ * @param withdrawnGpus accelerators of the attempts that only records may still name
  */
-public record TeamUse(Team team, double cpus, double gpus) {
+public record TeamUse(
+    Team team, double cpus, double gpus, double withdrawnCpus, double withdrawnGpus) {
   /** Absorbs the rounding errors of sums of fractional processors. */
   private static final double EPSILON = 1e-6;
 
-  /** Whether the team uses more than it may. */
+  /** Whether what is placed is more than the team may use. */
   public boolean isAboveLimit() {
     return isAbove(cpus, team.cpusMax()) || isAbove(gpus, team.gpusMax());
   }
--- a/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
+++ b/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
@@ -204,7 +204,7 @@
         session.tokens().shown().value());
   }
 
-  private static boolean mayStart(Machine machine, TaskAttempt attempt) {
+  private boolean mayStart(Machine machine, TaskAttempt attempt) {
     return !attempt.isSeen()
         && attempt.isCommitted()
         && attempt.job().record().isClaimed()
@@ -213,6 +213,7 @@
         && !attempt.isRevoked()
         && !machine.isPreemptionNoticed()
         && !machine.session().isUnresponsive()
-        && !machine.isReleasing();
+        && !machine.isReleasing()
+        && !jobs.isAboveLimit(attempt.job().spec().team());
   }
 }
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
@@ -96,7 +96,7 @@
   }
 
   /** Why no command that is to come starts the attempt; empty if one may. */
-  private static Optional<WithdrawalReason> reasonNotToStart(Machine machine, TaskAttempt attempt) {
+  private Optional<WithdrawalReason> reasonNotToStart(Machine machine, TaskAttempt attempt) {
     if (attempt.job().isCancelled()) {
       return Optional.of(WithdrawalReason.CANCELLED);
     }
@@ -106,13 +106,21 @@
     if (machine.isLeaving()) {
       return Optional.of(WithdrawalReason.MACHINE_LEAVING);
     }
-    return machine.session().isUnresponsive()
-        ? Optional.of(WithdrawalReason.MACHINE_UNRESPONSIVE)
+    if (machine.session().isUnresponsive()) {
+      return Optional.of(WithdrawalReason.MACHINE_UNRESPONSIVE);
+    }
+    return jobs.isAboveLimit(attempt.job().spec().team())
+        ? Optional.of(WithdrawalReason.TEAM_ABOVE_LIMIT)
         : Optional.empty();
   }
 
   private void withdraw(TaskAttempt attempt, WithdrawalReason reason, WithdrawalLog log) {
-    jobs.lose(attempt);
+    if (reason == WithdrawalReason.CANCELLED) {
+      // The mark of the cancellation is in the record: no later owner starts it either.
+      jobs.lose(attempt);
+    } else {
+      jobs.withdraw(attempt);
+    }
     log.add(attempt, reason);
   }
 
--- a/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
+++ b/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
@@ -147,6 +147,11 @@
     dependencies.ended(job.id(), state);
   }
 
+  @Override
+  public void committed(Job job) {
+    jobs.recordCommitted(job);
+  }
+
   @Override
   public void recordMissing(Job job) {
     relinquish(job, null);
--- a/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
+++ b/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
@@ -327,6 +327,7 @@
     if (write.isFinal()) {
       listener.ended(job, write.status());
     } else {
+      jobs.recordCommitted(job);
       placementLog.committed(write, revision, lease.epoch());
       resolver.rereadIfOutdated(job);
     }
--- a/src/main/java/shorecrank/coordination/shard/ShardJobs.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardJobs.java
@@ -69,6 +69,11 @@
     return quotas.isLimited(team);
   }
 
+  /** Whether the attempts that are placed take more than a team's limit. */
+  boolean isAboveLimit(String team) {
+    return quotas.isAboveLimit(team);
+  }
+
   /** What the teams with a limit use. */
   List<TeamUse> teamUses() {
     return quotas.uses();
@@ -90,9 +95,10 @@
     }
   }
 
-  /** Removes all attempts of a job. */
+  /** Removes all attempts of a job, whose record was read anew or is no more. */
   void detachAll(Job job) {
     job.tasks().copyOfAttempts().forEach(this::detach);
+    quotas.settleWithdrawn(job.spec(), job.clearWithdrawn());
   }
 
   /** Removes the attempts that no record names: no command has been given for them. */
@@ -104,7 +110,36 @@
     }
   }
 
-  /** The attempt is surely off its machine, without a result. */
+  /**
+   * Gives an attempt up that was never started, though it may be by whoever finds it in the record:
+   * its task is free, its team's quota only once the record names it no more.
+   */
+  void withdraw(TaskAttempt attempt) {
+    Job job = attempt.job();
+    if (job.tasks().isCurrent(attempt)) {
+      job.withdraw(attempt);
+      quotas.withdraw(job.spec());
+    }
+    boolean isWaitedFor = isLimited(job.spec().team());
+    job.requestWrite(isWaitedFor ? WriteUrgency.NOW : WriteUrgency.LATER, context.now());
+  }
+
+  /** A write of a job's record is known to be committed. */
+  void recordCommitted(Job job) {
+    int settled = job.settleWithdrawn();
+    if (settled > 0) {
+      quotas.settleWithdrawn(job.spec(), settled);
+      context.infoLimited(
+          "quota.released",
+          "job=%s team=%s tasks=%d revision=%s",
+          job.id(),
+          job.spec().team(),
+          settled,
+          job.record().revision());
+    }
+  }
+
+  /** The attempt is surely off its machine, without a result, and can't be started any more. */
   void lose(TaskAttempt attempt) {
     detach(attempt);
     attempt.job().requestWrite(WriteUrgency.LATER, context.now());
--- a/src/main/java/shorecrank/coordination/shard/UtilizationGauges.java
+++ b/src/main/java/shorecrank/coordination/shard/UtilizationGauges.java
@@ -49,11 +49,14 @@
     context.gauge("cpus.waited_for", waiting);
   }
 
-  /** Sets the gauges of what teams use, a pair for each team with a limit. */
+  /** Sets the gauges of what teams use, for each team with a limit. */
   static void updateTeams(StepContext context, List<TeamUse> uses) {
     for (TeamUse use : uses) {
-      context.gauge("team.cpus.counted." + use.team().name(), use.cpus());
-      context.gauge("team.gpus.counted." + use.team().name(), use.gpus());
+      String team = use.team().name();
+      context.gauge("team.cpus.placed." + team, use.cpus());
+      context.gauge("team.gpus.placed." + team, use.gpus());
+      context.gauge("team.cpus.withdrawn." + team, use.withdrawnCpus());
+      context.gauge("team.gpus.withdrawn." + team, use.withdrawnGpus());
     }
   }
 }
--- a/src/main/java/shorecrank/coordination/shard/WithdrawalLog.java
+++ b/src/main/java/shorecrank/coordination/shard/WithdrawalLog.java
@@ -9,6 +9,7 @@
 
 /** Logs the attempts that are given up on one heartbeat of one machine, a line for each job. */
 final class WithdrawalLog {
+  /** What is logged in one line. */
   private record Withdrawal(Job job, WithdrawalReason reason) {}
 
   private final StepContext context;
--- a/src/main/java/shorecrank/coordination/shard/WithdrawalReason.java
+++ b/src/main/java/shorecrank/coordination/shard/WithdrawalReason.java
@@ -16,6 +16,9 @@
   /** Its machine does not get the answers to its heartbeats. */
   MACHINE_UNRESPONSIVE,
 
+  /** Records name more of its team than the team may use. */
+  TEAM_ABOVE_LIMIT,
+
   /** Its worker has listed it before and does so no more. */
   VANISHED;
 
--- a/src/main/java/shorecrank/coordination/shard/WriteOutcomeResolver.java
+++ b/src/main/java/shorecrank/coordination/shard/WriteOutcomeResolver.java
@@ -32,6 +32,9 @@
     /** The record is another owner's now: the job is relinquished. */
     void refused(Job job, JobRecord record);
 
+    /** A write of this owner was found to be committed. */
+    void committed(Job job);
+
     /** There is no record that can be read: the job is relinquished. */
     void recordMissing(Job job);
 
@@ -190,6 +193,7 @@
       // By its number; memory already holds all of it. Somebody may have asked to cancel on top.
       job.adoptWritten(record);
       adoptMark(job, record, revision);
+      jobs.committed(job);
     } else if (!hasOwner && !job.record().hasOwner()) {
       // Nobody has claimed it: only a request to cancel changes such a record.
       adoptMark(job, record, revision);
--- a/src/test/java/shorecrank/coordination/model/TeamQuotasTest.java
+++ b/src/test/java/shorecrank/coordination/model/TeamQuotasTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import shorecrank.config.NodeConfig.Team;
+import shorecrank.protocol.Ids.AttemptNumber;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.JobSpec;
 
 /** How many more tasks a team's limits let run. */
@@ -74,6 +76,51 @@
     assertEquals(5, fitting("limited", 5, 2, 0));
   }
 
+  @Test
+  void withdrawnAttemptsCountUntilTheyAreSettled() {
+    JobSpec spec = job(2).ofTeam("limited").tasks(2, 4, 1).spec();
+    quotas.allocate(spec);
+    quotas.allocate(spec);
+    quotas.withdraw(spec);
+    assertEquals(1, fitting("limited", 5, 2, 0));
+    assertEquals(List.of(new TeamUse(TEAMS.get("limited"), 4, 1, 4, 1)), quotas.uses());
+    quotas.settleWithdrawn(spec, 1);
+    assertEquals(3, fitting("limited", 5, 2, 0));
+  }
+
+  @Test
+  void aJobsOwnTasksMayTakeThePlaceOfItsWithdrawnAttempts() {
+    Job job = job(2).ofTeam("limited").tasks(3, 4, 0).build();
+    TaskAttempt attempt = placedAttempt(job);
+    assertEquals(1, quotas.headroom("limited").queuedTasksThatFit(job));
+    job.withdraw(attempt);
+    quotas.withdraw(job.spec());
+    assertEquals(2, quotas.headroom("limited").queuedTasksThatFit(job));
+    assertEquals(1, fitting("limited", 3, 4, 0), "another job's");
+  }
+
+  private TaskAttempt placedAttempt(Job job) {
+    Machine machine = machine(1).build();
+    AttemptNumber number = job.tasks().nextAttemptNumber();
+    TaskAttempt attempt = TaskAttempt.place(job, 0, machine, number, new MonotonicTime(0));
+    job.add(attempt);
+    quotas.allocate(job.spec());
+    return attempt;
+  }
+
+  @Test
+  void aTeamIsAboveItsLimitByWhatIsPlaced() {
+    JobSpec spec = job(2).ofTeam("limited").tasks(2, 6, 0).spec();
+    quotas.allocate(spec);
+    assertFalse(quotas.isAboveLimit("limited"));
+    quotas.allocate(spec);
+    assertTrue(quotas.isAboveLimit("limited"));
+    quotas.withdraw(spec);
+    assertFalse(quotas.isAboveLimit("limited"), "what is withdrawn is not started here");
+    assertFalse(quotas.isAboveLimit("unlimited"));
+    assertFalse(quotas.isAboveLimit("unknown"));
+  }
+
   @Test
   void headroomCountsDownWithWhatIsTakenFromIt() {
     Job first = job(2).ofTeam("limited").tasks(3, 2, 0).build();
--- /dev/null
+++ b/src/test/java/shorecrank/coordination/model/WithdrawnAttemptsTest.java
@@ -0,0 +1,32 @@
+package shorecrank.coordination.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** Until which write withdrawn attempts count. */
+class WithdrawnAttemptsTest {
+  private final WithdrawnAttempts withdrawn = new WithdrawnAttempts();
+
+  @Test
+  void attemptsCountUntilAWriteWithoutThemIsCommitted() {
+    withdrawn.add(5);
+    withdrawn.add(5);
+    withdrawn.add(7);
+    assertEquals(0, withdrawn.settle(4));
+    assertEquals(3, withdrawn.count());
+    assertEquals(2, withdrawn.settle(6));
+    assertEquals(1, withdrawn.count());
+    assertEquals(1, withdrawn.settle(9));
+    assertEquals(0, withdrawn.count());
+  }
+
+  @Test
+  void nothingCountsOnceTheRecordIsReadAnew() {
+    withdrawn.add(5);
+    withdrawn.add(6);
+    assertEquals(2, withdrawn.clear());
+    assertEquals(0, withdrawn.count());
+    assertEquals(0, withdrawn.settle(9));
+  }
+}
--- a/src/test/java/shorecrank/sim/RecordedUseRule.java
+++ b/src/test/java/shorecrank/sim/RecordedUseRule.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import shorecrank.storage.JobRecord;
 import shorecrank.storage.JobRecord.AttemptRange;
 
@@ -14,7 +16,7 @@
   /** A stored value and the record that it holds. */
   private record Decoded(JsonNode value, JobRecord record) {}
 
-  /** The records that transactions have written, by key; null for those without a limit. */
+  /** All records by key, decoded only for teams with a limit. */
   private final Map<String, Decoded> records = new HashMap<>();
 
   RecordedUseRule(World world, Checker checker) {
@@ -33,7 +35,7 @@
     if (written.isEmpty() || world().site.teams().isEmpty()) {
       return;
     }
-    records.keySet().forEach(this::refresh);
+    refresh();
     Map<String, Double> before = cpusByTeam();
     written.forEach(this::decode);
     cpusByTeam().forEach((team, cpus) -> check(team, before.getOrDefault(team, 0.0), cpus));
@@ -45,11 +47,16 @@
     }
   }
 
-  /** Takes in what came into a record otherwise, or that it is gone. */
-  private void refresh(String key) {
-    JsonNode stored = world().store.peek(key);
-    if (stored != records.get(key).value) {
-      decode(key, stored);
+  /** Takes in what came into records otherwise, and which of them are gone. */
+  private void refresh() {
+    List<String> keys = world().store.keys(JobRecord.LIVE);
+    records.keySet().retainAll(Set.copyOf(keys));
+    for (String key : keys) {
+      JsonNode stored = world().store.peek(key);
+      Decoded known = records.get(key);
+      if (known == null || known.value != stored) {
+        decode(key, stored);
+      }
     }
   }
 
