While a record is another owner's, teams with a limit get no further room

What callers would see: a team at twice its limit after a record was taken by a higher epoch.

Cause: an owner that relinquishes a job forgets its attempts, and its team's use with them, while the tasks run on; other jobs of the team got that room.

Change: as long as a record has refused the owner, use counts as unknown, as it does until all records are claimed after a takeover; the leader's higher epoch has all records read anew.

--- a/src/main/java/shorecrank/coordination/scheduling/PlacementRound.java
+++ b/src/main/java/shorecrank/coordination/scheduling/PlacementRound.java
@@ -164,8 +164,14 @@
     return -1;
   }
 
-  /** Whether no earlier owner's late write can add to the use of any team. */
+  /**
+   * Whether the use of all teams is known: no earlier owner's late write can add to it, and no
+   * other owner has the record of a job, whose tasks may still run.
+   */
   private boolean isUseKnown() {
+    if (shard.hasRefusedRecord()) {
+      return false;
+    }
     for (Job job : shard.jobs().values()) {
       if (!job.record().isUseKnown()) {
         return false;
@@ -234,7 +240,6 @@
   }
 
   private void placeIfAllowed(Job job, boolean useKnown, List<Machine> room) {
-    // Until every record is claimed, a late write of the last owner may add to the team's use.
     if (useKnown || !quotas.isLimited(job.spec().team())) {
       placer.place(job, room);
     }
--- a/src/main/java/shorecrank/coordination/scheduling/ShardView.java
+++ b/src/main/java/shorecrank/coordination/scheduling/ShardView.java
@@ -34,6 +34,9 @@
   /** Since when all records of the shard have been read. */
   MonotonicTime readySince();
 
+  /** Whether a record is another owner's, until all are read anew under a higher epoch. */
+  boolean hasRefusedRecord();
+
   /** Whether the owner's lease runs. */
   boolean isLeaseValid();
 
--- a/src/main/java/shorecrank/coordination/shard/ShardState.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardState.java
@@ -10,6 +10,7 @@
 import shorecrank.coordination.scheduling.ShardView;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.CloudMessages.MachineType;
+import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.MachineName;
 import shorecrank.protocol.Ids.MonotonicTime;
@@ -78,6 +79,11 @@
     return recovery.readyAt();
   }
 
+  @Override
+  public boolean hasRefusedRecord() {
+    return !lease.refusedBy().equals(Epoch.NONE);
+  }
+
   @Override
   public boolean isLeaseValid() {
     return lease.isValid();
--- a/src/test/java/shorecrank/coordination/scheduling/FakeShard.java
+++ b/src/test/java/shorecrank/coordination/scheduling/FakeShard.java
@@ -85,6 +85,11 @@
     return new MonotonicTime(0);
   }
 
+  @Override
+  public boolean hasRefusedRecord() {
+    return false;
+  }
+
   @Override
   public boolean isLeaseValid() {
     return true;
