A team above its limit after a takeover: starts wait until its workers have told, then what is too much goes

Need: records name tasks that have ended until they are written again, so a takeover often finds a team above its limit that is not.

Change: an owner still starts nothing of such a team, but withdraws what was never started only once the workers of all its attempts have been reconciled, and raises the alarm team.quota.exceeded then, not at each takeover. New class QuotaGuard; TakeoverLog only tells.

--- a/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
+++ b/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
@@ -32,16 +32,19 @@
   private final ShardJobs jobs;
   private final MachineRegistry machines;
   private final CancellationLog cancellations;
+  private final QuotaGuard quotaGuard;
 
   CommandPlanner(
       StepContext context,
       ShardJobs jobs,
       MachineRegistry machines,
-      CancellationLog cancellations) {
+      CancellationLog cancellations,
+      QuotaGuard quotaGuard) {
     this.context = context;
     this.jobs = jobs;
     this.machines = machines;
     this.cancellations = cancellations;
+    this.quotaGuard = quotaGuard;
   }
 
   // ---- without the right to command ------------------------------------------------------------
@@ -214,6 +217,6 @@
         && !machine.isPreemptionNoticed()
         && !machine.session().isUnresponsive()
         && !machine.isReleasing()
-        && !jobs.isAboveLimit(attempt.job().spec().team());
+        && quotaGuard.mayStart(attempt.job());
   }
 }
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
@@ -24,10 +24,12 @@
 
   private final StepContext context;
   private final ShardJobs jobs;
+  private final QuotaGuard quotaGuard;
 
-  HeartbeatReconciler(StepContext context, ShardJobs jobs) {
+  HeartbeatReconciler(StepContext context, ShardJobs jobs, QuotaGuard quotaGuard) {
     this.context = context;
     this.jobs = jobs;
+    this.quotaGuard = quotaGuard;
   }
 
   /**
@@ -109,7 +111,7 @@
     if (machine.session().isUnresponsive()) {
       return Optional.of(WithdrawalReason.MACHINE_UNRESPONSIVE);
     }
-    return jobs.isAboveLimit(attempt.job().spec().team())
+    return quotaGuard.mustWithdraw(attempt.job())
         ? Optional.of(WithdrawalReason.TEAM_ABOVE_LIMIT)
         : Optional.empty();
   }
@@ -119,6 +121,9 @@
       // The mark of the cancellation is in the record: no later owner starts it either.
       jobs.lose(attempt);
     } else {
+      if (reason == WithdrawalReason.TEAM_ABOVE_LIMIT) {
+        quotaGuard.withdrawn(attempt.job());
+      }
       jobs.withdraw(attempt);
     }
     log.add(attempt, reason);
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/shard/QuotaGuard.java
@@ -0,0 +1,82 @@
+package shorecrank.coordination.shard;
+
+import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.TeamQuotas;
+import shorecrank.coordination.model.TeamUse;
+import shorecrank.coordination.step.StepContext;
+
+/**
+ * Keeps what records name of a team from being started above the team's limit. An owner never
+ * places so much, but may find it in the records: of tasks that have ended since, or because an
+ * earlier version did not count what it had given up.
+ */
+final class QuotaGuard {
+  private final StepContext context;
+  private final ShardJobs jobs;
+  private final TeamQuotas quotas;
+
+  QuotaGuard(StepContext context, ShardJobs jobs, TeamQuotas quotas) {
+    this.context = context;
+    this.jobs = jobs;
+    this.quotas = quotas;
+  }
+
+  /** Whether attempts of a job may be started, as far as its team's limit goes. */
+  boolean mayStart(Job job) {
+    return !quotas.isAboveLimit(job.spec().team());
+  }
+
+  /**
+   * Whether an attempt that was never started has to be withdrawn: its team is above the limit, and
+   * the workers have told of all its attempts, so that none of them is known to have ended.
+   */
+  boolean mustWithdraw(Job job) {
+    String team = job.spec().team();
+    return quotas.isAboveLimit(team) && isUseKnown(team);
+  }
+
+  private boolean isUseKnown(String team) {
+    for (Job job : jobs.all().values()) {
+      if (job.spec().team().equals(team) && !areAllMachinesReconciled(job)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean areAllMachinesReconciled(Job job) {
+    for (TaskAttempt attempt : job.tasks().attempts()) {
+      if (!attempt.machine().session().isReconciled()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Raises an alarm for each team that is known to be above its limit. */
+  void review() {
+    for (TeamUse use : quotas.uses()) {
+      if (use.isAboveLimit() && isUseKnown(use.team().name())) {
+        alarm(use);
+      }
+    }
+  }
+
+  /** Raises an alarm for the team of a job from which something is withdrawn. */
+  void withdrawn(Job job) {
+    for (TeamUse use : quotas.uses()) {
+      if (use.team().name().equals(job.spec().team())) {
+        alarm(use);
+      }
+    }
+  }
+
+  private void alarm(TeamUse use) {
+    context.refused(
+        "quota.exceeded",
+        String.format(
+            "team.quota.exceeded team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f",
+            use.team().name(), use.cpus(), use.team().cpusMax(), use.gpus(), use.team().gpusMax()));
+  }
+}
--- a/src/main/java/shorecrank/coordination/shard/ShardJobs.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardJobs.java
@@ -69,11 +69,6 @@
     return quotas.isLimited(team);
   }
 
-  /** Whether the attempts that are placed take more than a team's limit. */
-  boolean isAboveLimit(String team) {
-    return quotas.isAboveLimit(team);
-  }
-
   /** What the teams with a limit use. */
   List<TeamUse> teamUses() {
     return quotas.uses();
--- a/src/main/java/shorecrank/coordination/shard/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardOwner.java
@@ -57,6 +57,7 @@
   private final Autoscaler autoscaler;
   private final StatusQueries statusQueries;
   private final ShardState state;
+  private final QuotaGuard quotaGuard;
 
   private final ShardDemandReporter demand;
 
@@ -102,10 +103,11 @@
     this.state = new ShardState(context, lease, recovery, jobs, machines, liveness, quotas);
     this.writer =
         new JobRecordWriter(context, lease, gate, jobs, queue, resolver, new CommittedWrites());
-    CommandPlanner planner = new CommandPlanner(context, jobs, machines, cancellations);
+    this.quotaGuard = new QuotaGuard(context, jobs, quotas);
+    CommandPlanner planner = new CommandPlanner(context, jobs, machines, cancellations, quotaGuard);
     this.replies = new HeartbeatReplies(context, lease, jobs, planner);
     this.directCommands = new DirectCommandSender(context, lease, jobs, planner);
-    HeartbeatReconciler reconciler = new HeartbeatReconciler(context, jobs);
+    HeartbeatReconciler reconciler = new HeartbeatReconciler(context, jobs, quotaGuard);
     this.heartbeats = new HeartbeatHandler(context, lease, recovery, machines, reconciler, replies);
     this.placement = new PlacementRound(context, state, quotas, queue, machines.withRoom());
     this.autoscaler = new Autoscaler(context, state);
@@ -281,6 +283,7 @@
     machines.stopSavingTasks();
     UtilizationGauges.update(context, state);
     UtilizationGauges.updateTeams(context, jobs.teamUses());
+    quotaGuard.review();
     missesManyWorkers = liveness.missesManyWorkers();
     jobs.reviewAll();
   }
--- a/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
+++ b/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
@@ -54,16 +54,5 @@
         lease.shard(),
         lease.epoch(),
         revision);
-    if (use.isAboveLimit()) {
-      context.error(
-          "team.quota.exceeded team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f revision=%d",
-          use.team().name(),
-          use.cpus(),
-          use.team().cpusMax(),
-          use.gpus(),
-          use.team().gpusMax(),
-          revision);
-      context.count("quota.exceeded");
-    }
   }
 }
