The verdict that a team is above its limit is found once a second; placements found committed are logged, too

Change: QuotaGuard looks at the jobs of a team once a second, not for each attempt that a worker does not list: at a takeover of a large fleet that is many. A placement whose write had no answer and was found to be committed is logged like others.

--- a/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
@@ -121,9 +121,6 @@
       // The mark of the cancellation is in the record: no later owner starts it either.
       jobs.lose(attempt);
     } else {
-      if (reason == WithdrawalReason.TEAM_ABOVE_LIMIT) {
-        quotaGuard.withdrawn(attempt.job());
-      }
       jobs.withdraw(attempt);
     }
     log.add(attempt, reason);
--- a/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
+++ b/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import shorecrank.coordination.model.CancellationLog;
 import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.JobRecordState;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskAttempt;
 import shorecrank.coordination.model.WriteUrgency;
@@ -28,6 +29,7 @@
   private final DependencyGraph dependencies;
   private final SchedulingQueue queue;
   private final CancellationLog cancellations;
+  private final PlacementLog placementLog;
 
   JobLifecycle(
       StepContext context,
@@ -44,6 +46,7 @@
     this.dependencies = dependencies;
     this.queue = queue;
     this.cancellations = cancellations;
+    this.placementLog = new PlacementLog(context);
   }
 
   // ---- taking over -----------------------------------------------------------------------------
@@ -150,6 +153,8 @@
   @Override
   public void committed(Job job) {
     jobs.recordCommitted(job);
+    JobRecordState record = job.record();
+    placementLog.committed(job, record.committedSequence(), record.revision(), lease.epoch());
   }
 
   @Override
--- a/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
+++ b/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
@@ -328,7 +328,7 @@
       listener.ended(job, write.status());
     } else {
       jobs.recordCommitted(job);
-      placementLog.committed(write, revision, lease.epoch());
+      placementLog.committed(job, write.sequence(), revision, lease.epoch());
       resolver.rereadIfOutdated(job);
     }
   }
--- a/src/main/java/shorecrank/coordination/shard/PlacementLog.java
+++ b/src/main/java/shorecrank/coordination/shard/PlacementLog.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.JobRecordState;
 import shorecrank.coordination.model.TaskAttempt;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.Epoch;
@@ -22,16 +23,16 @@
     this.context = context;
   }
 
-  /** A write of a job's record is committed at a revision, under an epoch. */
-  void committed(RecordWrite write, Revision revision, Epoch epoch) {
-    Job job = write.job();
-    if (!job.record().isPlacementSent()) {
+  /** A write of a job's record is known to be committed at a revision, under an epoch. */
+  void committed(Job job, long sequence, Revision revision, Epoch epoch) {
+    JobRecordState record = job.record();
+    if (!record.isPlacementSent() || sequence != record.sequence()) {
       return;
     }
     Map<MachineName, Integer> tasksByMachine = new LinkedHashMap<>();
     int tasks = 0;
     for (TaskAttempt attempt : job.tasks().attempts()) {
-      if (attempt.writeSequence() == write.sequence()) {
+      if (attempt.writeSequence() == sequence) {
         tasksByMachine.merge(attempt.machine().name(), 1, Integer::sum);
         tasks++;
       }
--- a/src/main/java/shorecrank/coordination/shard/QuotaGuard.java
+++ b/src/main/java/shorecrank/coordination/shard/QuotaGuard.java
@@ -1,5 +1,7 @@
 package shorecrank.coordination.shard;
 
+import java.util.HashSet;
+import java.util.Set;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.TaskAttempt;
 import shorecrank.coordination.model.TeamQuotas;
@@ -16,6 +18,9 @@
   private final ShardJobs jobs;
   private final TeamQuotas quotas;
 
+  /** Teams above their limits at the last review, of all of whose attempts workers had told. */
+  private final Set<String> knownAboveLimit = new HashSet<>();
+
   QuotaGuard(StepContext context, ShardJobs jobs, TeamQuotas quotas) {
     this.context = context;
     this.jobs = jobs;
@@ -29,11 +34,22 @@
 
   /**
    * Whether an attempt that was never started has to be withdrawn: its team is above the limit, and
-   * the workers have told of all its attempts, so that none of them is known to have ended.
+   * the workers have told of all its attempts, so that none is left that may have ended.
    */
   boolean mustWithdraw(Job job) {
     String team = job.spec().team();
-    return quotas.isAboveLimit(team) && isUseKnown(team);
+    return knownAboveLimit.contains(team) && quotas.isAboveLimit(team);
+  }
+
+  /** Finds the teams that are known to be above their limits, and raises an alarm for each. */
+  void review() {
+    knownAboveLimit.clear();
+    for (TeamUse use : quotas.uses()) {
+      if (use.isAboveLimit() && isUseKnown(use.team().name())) {
+        knownAboveLimit.add(use.team().name());
+        alarm(use);
+      }
+    }
   }
 
   private boolean isUseKnown(String team) {
@@ -54,24 +70,6 @@
     return true;
   }
 
-  /** Raises an alarm for each team that is known to be above its limit. */
-  void review() {
-    for (TeamUse use : quotas.uses()) {
-      if (use.isAboveLimit() && isUseKnown(use.team().name())) {
-        alarm(use);
-      }
-    }
-  }
-
-  /** Raises an alarm for the team of a job from which something is withdrawn. */
-  void withdrawn(Job job) {
-    for (TeamUse use : quotas.uses()) {
-      if (use.team().name().equals(job.spec().team())) {
-        alarm(use);
-      }
-    }
-  }
-
   private void alarm(TeamUse use) {
     context.refused(
         "quota.exceeded",
--- a/src/main/java/shorecrank/coordination/shard/WriteOutcomeResolver.java
+++ b/src/main/java/shorecrank/coordination/shard/WriteOutcomeResolver.java
@@ -191,9 +191,12 @@
     references.read(job.id(), revision, record, othersMayWrite);
     if (isOwnWrite) {
       // By its number; memory already holds all of it. Somebody may have asked to cancel on top.
+      boolean isNews = record.sequence() > job.record().committedSequence();
       job.adoptWritten(record);
       adoptMark(job, record, revision);
-      jobs.committed(job);
+      if (isNews) {
+        jobs.committed(job);
+      }
     } else if (!hasOwner && !job.record().hasOwner()) {
       // Nobody has claimed it: only a request to cancel changes such a record.
       adoptMark(job, record, revision);
