An aborted move is logged and counted once, when it is written down

What operators saw: the same move.aborted every quarter of a second while the state service refuses the leader, and as many in shares.moves.aborted.

Cause: MoveStepper told of the abort before the write, which is tried again at each step. The class is that of an answer before the write.

Change: MoveCommitter tells of it with the other changes of the move, once they are committed or a write in doubt is found to be carried out. ShardJobsTest shows until when attempts count for their team.

--- a/src/main/java/shorecrank/rebalance/MoveCommitter.java
+++ b/src/main/java/shorecrank/rebalance/MoveCommitter.java
@@ -4,6 +4,7 @@
 import shorecrank.protocol.Ids.MachineName;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.ShareStateMessages.Move;
+import shorecrank.protocol.ShareStateMessages.MovePhase;
 import shorecrank.protocol.ShareStateMessages.SharesState;
 import shorecrank.protocol.StoreMessages.Transaction;
 import shorecrank.rebalance.ShareFleet.Handover;
@@ -21,6 +22,8 @@
     void finished(boolean isCommitted);
   }
 
+  private static final Runnable NOTHING_TO_LOG = () -> {};
+
   private final LeaderEnvironment environment;
   private final SharesStore store;
   private final ShareFleet fleet;
@@ -31,6 +34,9 @@
   /** Assignments in a transaction that is under way or in doubt; null if there are none. */
   private Handover openHandover;
 
+  /** Logs the change that is under way or in doubt, once it is known to be carried out. */
+  private Runnable openLog = NOTHING_TO_LOG;
+
   MoveCommitter(
       LeaderEnvironment environment,
       SharesStore store,
@@ -75,6 +81,7 @@
     }
     openHandover = handover;
     SharesState before = store.state();
+    openLog = () -> logChanges(before, next);
     store.write(
         next,
         transaction -> addHandover(transaction, handover),
@@ -84,6 +91,7 @@
           } else if (!result.isUnknown()) {
             refused(handover, result instanceof CommitResult.Conflict);
             openHandover = null;
+            openLog = NOTHING_TO_LOG;
           }
           // One of unknown outcome is settled later; until then no assignment is written.
           then.finished(result.isCommitted());
@@ -101,9 +109,11 @@
     Handover settled = openHandover;
     openHandover = null;
     if (isCarriedOut) {
+      writeOpenLog();
       fleet.reload();
     } else {
       refused(settled, false);
+      openLog = NOTHING_TO_LOG;
     }
   }
 
@@ -130,6 +140,22 @@
       handover.committed(revision);
     }
     openHandover = null;
+    writeOpenLog();
+    for (Move move : after.ended()) {
+      if (!before.ended().contains(move)) {
+        times.ended(move);
+        reports.forget(move);
+      }
+    }
+    orders.synchronize();
+  }
+
+  private void writeOpenLog() {
+    openLog.run();
+    openLog = NOTHING_TO_LOG;
+  }
+
+  private void logChanges(SharesState before, SharesState after) {
     for (Move move : after.active()) {
       if (!before.active().contains(move)) {
         environment.info(
@@ -143,11 +169,16 @@
       }
     }
     for (Move move : after.ended()) {
-      if (!before.ended().contains(move)) {
-        times.ended(move);
-        reports.forget(move);
+      if (move.phase() == MovePhase.ABORTED && !before.ended().contains(move)) {
+        logAborted(move);
       }
     }
-    orders.synchronize();
+  }
+
+  private void logAborted(Move move) {
+    environment.info(
+        "move.aborted id=%s machine=%s from=%s to=%s reason=\"%s\"",
+        move.id(), move.machine(), move.from(), move.to(), move.reason());
+    environment.count("shares.moves.aborted", 1);
   }
 }
--- a/src/main/java/shorecrank/rebalance/MoveStepper.java
+++ b/src/main/java/shorecrank/rebalance/MoveStepper.java
@@ -12,7 +12,6 @@
 import shorecrank.protocol.ShareStateMessages.MovePhase;
 import shorecrank.protocol.ShareStateMessages.SharesState;
 import shorecrank.rebalance.MoveRules.Observation;
-import shorecrank.rebalance.MoveRules.Reason;
 import shorecrank.rebalance.MoveRules.Step;
 import shorecrank.rebalance.ShareFleet.FleetMachine;
 import shorecrank.rebalance.ShareFleet.Handover;
@@ -69,7 +68,7 @@
           }
         }
         case FINISH -> next = changed(next, move.in(MovePhase.DONE));
-        case ABORT -> next = changed(next, abort(move, step.reason()));
+        case ABORT -> next = changed(next, move.aborted(step.reason().text()));
       }
     }
     Handover handover = prepare(assignments);
@@ -109,14 +108,6 @@
         times.ageS(move));
   }
 
-  private Move abort(Move move, Reason reason) {
-    environment.info(
-        "move.aborted id=%s machine=%s from=%s to=%s reason=\"%s\"",
-        move.id(), move.machine(), move.from(), move.to(), reason.text());
-    environment.count("shares.moves.aborted", 1);
-    return move.aborted(reason.text());
-  }
-
   /**
    * Whether the new owner's epoch is above any that the machine's worker may have been shown; if
    * not, a higher one is asked for.
--- a/src/test/java/shorecrank/coordination/model/JobBuilder.java
+++ b/src/test/java/shorecrank/coordination/model/JobBuilder.java
@@ -124,20 +124,14 @@
         List.copyOf(dependencies));
   }
 
+  /** The record of the job, accepted and not yet claimed. */
+  public JobRecord record() {
+    return new JobRecord(
+        spec(), Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, acceptedAtMs, 0);
+  }
+
   /** The job, accepted and not yet claimed. */
   public Job build() {
-    JobRecord record =
-        new JobRecord(
-            spec(),
-            Epoch.NONE,
-            WriterId.NONE,
-            0,
-            new BitSet(),
-            List.of(),
-            0,
-            false,
-            acceptedAtMs,
-            0);
-    return new Job(record, new Revision(1), 1, new HashSet<>());
+    return new Job(record(), new Revision(1), 1, new HashSet<>());
   }
 }
--- /dev/null
+++ b/src/test/java/shorecrank/coordination/shard/ShardJobsTest.java
@@ -0,0 +1,96 @@
+package shorecrank.coordination.shard;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static shorecrank.coordination.model.JobBuilder.job;
+import static shorecrank.coordination.model.MachineBuilder.machine;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.StepContextBuilder;
+import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.TeamQuotas;
+import shorecrank.coordination.model.WriteUrgency;
+import shorecrank.coordination.step.StepContext;
+import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.Revision;
+
+/** Until when attempts count for their team, which may use 8 processors. */
+class ShardJobsTest {
+  private static final String TEAM = "limited";
+  private static final Epoch EPOCH = new Epoch(1);
+
+  private final StepContext context = new StepContextBuilder().team(TEAM, 0, 8).build();
+  private final TeamQuotas quotas = new TeamQuotas(context.config().teams(), List.of());
+  private final ShardJobs jobs = new ShardJobs(context, quotas);
+  private final Job job = jobs.add(job(1).ofTeam(TEAM).tasks(1, 6, 0).record(), new Revision(1));
+  private final Job other = jobs.add(job(2).ofTeam(TEAM).tasks(8, 1, 0).record(), new Revision(2));
+
+  private TaskAttempt attach() {
+    TaskAttempt attempt =
+        TaskAttempt.place(
+            job, 0, machine(1).build(), job.tasks().nextAttemptNumber(), context.now());
+    jobs.attach(attempt);
+    return attempt;
+  }
+
+  private void write() {
+    job.record().beginWrite();
+    commit();
+  }
+
+  private void commit() {
+    long sequence = job.record().sequence();
+    job.recordCommitted(sequence, new Revision(sequence), EPOCH, job.record().status());
+    job.record().endWrite();
+    jobs.recordCommitted(job);
+  }
+
+  private void assertRoomForOther(int tasks) {
+    assertEquals(tasks, quotas.headroom(TEAM).queuedTasksThatFit(other));
+  }
+
+  @Test
+  void aWithdrawnAttemptCountsUntilItsRecordIsWrittenWithoutIt() {
+    TaskAttempt attempt = attach();
+    write();
+    jobs.withdraw(attempt);
+    assertRoomForOther(2);
+    assertEquals(1, quotas.headroom(TEAM).queuedTasksThatFit(job));
+    assertEquals(WriteUrgency.NOW, job.record().urgency());
+    write();
+    assertRoomForOther(8);
+  }
+
+  @Test
+  void aWriteThatWasSentBeforeTheWithdrawalReleasesNothing() {
+    TaskAttempt attempt = attach();
+    write();
+    job.record().beginWrite();
+    jobs.withdraw(attempt);
+    commit();
+    assertRoomForOther(2);
+    write();
+    assertRoomForOther(8);
+  }
+
+  @Test
+  void anAttemptThatCanRunNoMoreIsReleasedAtOnce() {
+    TaskAttempt attempt = attach();
+    write();
+    jobs.lose(attempt);
+    assertRoomForOther(8);
+    assertEquals(WriteUrgency.LATER, job.record().urgency());
+  }
+
+  @Test
+  void aJobThatIsReadAnewCountsByItsRecordOnly() {
+    TaskAttempt attempt = attach();
+    write();
+    jobs.withdraw(attempt);
+    jobs.detachAll(job);
+    assertRoomForOther(8);
+    write();
+    assertRoomForOther(8);
+  }
+}
