--- a/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
+++ b/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import shorecrank.coordination.shard.ShardOwner;
 import shorecrank.coordination.shard.StatusQueries.StatusCallback;
@@ -36,13 +37,13 @@
     this.shards = shards;
   }
 
-  /** Asks the shard's owner where the job stands; the callback gets null if it can't tell. */
+  /** Asks the shard's owner where the job stands; the callback gets nothing if it can't tell. */
   void query(ShardId shard, JobId job, StatusCallback then) {
     ShardOwner shardOwner = shards.find(shard);
     if (shardOwner != null) {
       shardOwner.queryStatus(job, then);
     } else if (owners.findOther(shard).isEmpty()) {
-      then.told(null);
+      then.told(Optional.empty());
     } else {
       pending
           .computeIfAbsent(shard, asked -> new LinkedHashMap<>())
@@ -77,7 +78,10 @@
   private static void answer(
       Map<JobId, List<StatusCallback>> queries, Map<JobId, JobStatus> statuses) {
     queries.forEach(
-        (job, callbacks) -> callbacks.forEach(callback -> callback.told(statuses.get(job))));
+        (job, callbacks) -> {
+          Optional<JobStatus> status = Optional.ofNullable(statuses.get(job));
+          callbacks.forEach(callback -> callback.told(status));
+        });
   }
 
   /** Answers another controller's query, once all that can be told is known. */
@@ -106,10 +110,8 @@
       this.statuses = statuses;
     }
 
-    void add(JobId job, JobStatus status) {
-      if (status != null) {
-        statuses.put(job, status);
-      }
+    void add(JobId job, Optional<JobStatus> status) {
+      status.ifPresent(found -> statuses.put(job, found));
       open--;
       if (open == 0) {
         context.reply(reply, OK, StatusQueryCodec.writeAnswer(statuses));
--- a/src/main/java/shorecrank/coordination/model/TeamUse.java
+++ b/src/main/java/shorecrank/coordination/model/TeamUse.java
@@ -21,6 +21,13 @@
     return isAbove(cpus, team.cpusMax()) || isAbove(gpus, team.gpusMax());
   }
 
+  /** What is placed beside the limits, as fields of a log line. */
+  public String logFields() {
+    return String.format(
+        "team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f",
+        team.name(), cpus, team.cpusMax(), gpus, team.gpusMax());
+  }
+
   private static boolean isAbove(double used, double limit) {
     return limit > 0 && used > limit + EPSILON;
   }
--- a/src/main/java/shorecrank/coordination/request/StatusHandler.java
+++ b/src/main/java/shorecrank/coordination/request/StatusHandler.java
@@ -59,15 +59,15 @@
     }
   }
 
-  private void ownerAnswered(UserRequest request, JobId id, JobStatus status) {
-    if (status == null) {
+  private void ownerAnswered(UserRequest request, JobId id, Optional<JobStatus> status) {
+    if (status.isEmpty()) {
       answerFromStore(request, id);
       return;
     }
-    if (status.state() == JobState.CANCELLED) {
+    if (status.get().state() == JobState.CANCELLED) {
       cancellations.recordConfirmed(id);
     }
-    replies.status(request, id, status);
+    replies.status(request, id, status.get());
   }
 
   private void answerFromStore(UserRequest request, JobId id) {
--- a/src/main/java/shorecrank/coordination/shard/QuotaGuard.java
+++ b/src/main/java/shorecrank/coordination/shard/QuotaGuard.java
@@ -47,7 +47,7 @@
     for (TeamUse use : quotas.uses()) {
       if (use.isAboveLimit() && isUseKnown(use.team().name())) {
         knownAboveLimit.add(use.team().name());
-        alarm(use);
+        context.refused("quota.exceeded", "team.quota.exceeded " + use.logFields());
       }
     }
   }
@@ -69,12 +69,4 @@
     }
     return true;
   }
-
-  private void alarm(TeamUse use) {
-    context.refused(
-        "quota.exceeded",
-        String.format(
-            "team.quota.exceeded team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f",
-            use.team().name(), use.cpus(), use.team().cpusMax(), use.gpus(), use.team().gpusMax()));
-  }
 }
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -48,9 +48,9 @@
     /**
      * A query has its answer.
      *
-     * @param jobStatus null if this owner can't tell
+     * @param jobStatus empty if this owner can't tell
      */
-    void told(JobStatus jobStatus);
+    void told(Optional<JobStatus> jobStatus);
   }
 
   /** The queries that one transaction answers. */
@@ -58,7 +58,7 @@
     final Map<JobId, List<StatusCallback>> queries;
     final Transaction transaction = new Transaction();
 
-    /** What is told of each job if all its records are unchanged; null if it can't be told. */
+    /** What is told of each job if all its records are unchanged; jobs that can't be told lack. */
     final Map<JobId, JobStatus> statuses = new HashMap<>();
 
     /** The keys that have to be unchanged, by job. */
@@ -79,8 +79,10 @@
       guard(job, keys);
       keysByJob.put(job.id(), keys);
       JobStatus status = job.record().status();
-      boolean cancelledSince = job.isCancelled() && status.state() != JobState.CANCELLED;
-      statuses.put(job.id(), cancelledSince ? null : status);
+      boolean isCancelledSince = job.isCancelled() && status.state() != JobState.CANCELLED;
+      if (!isCancelledSince) {
+        statuses.put(job.id(), status);
+      }
     }
 
     private void guard(Job job, Set<String> keys) {
@@ -120,23 +122,25 @@
    * @param isOwner whether this process owns the shard and knows its records
    */
   void ask(JobId id, boolean isOwner, StatusCallback callback) {
-    JobStatus end = ended.getIfPresent(id);
-    if (end != null) {
+    Optional<JobStatus> end = findEnded(id);
+    if (end.isPresent() || !isOwner || jobs.find(id) == null) {
       callback.told(end);
-    } else if (!isOwner || jobs.find(id) == null) {
-      callback.told(null);
     } else {
       waiting.computeIfAbsent(id, absent -> new ArrayList<>(1)).add(callback);
     }
   }
 
+  private Optional<JobStatus> findEnded(JobId id) {
+    return Optional.ofNullable(ended.getIfPresent(id));
+  }
+
   /** The ownership is over: others have to be asked. */
   void close() {
-    waiting.values().forEach(callbacks -> tell(callbacks, null));
+    waiting.values().forEach(callbacks -> tell(callbacks, Optional.empty()));
     waiting.clear();
   }
 
-  private static void tell(List<StatusCallback> callbacks, JobStatus status) {
+  private static void tell(List<StatusCallback> callbacks, Optional<JobStatus> status) {
     callbacks.forEach(callback -> callback.told(status));
   }
 
@@ -184,7 +188,7 @@
   private void prepare(Comparison comparison, JobId id) {
     Job job = jobs.find(id);
     if (job == null || job.record().status() == null) {
-      tell(comparison.queries.remove(id), ended.getIfPresent(id));
+      tell(comparison.queries.remove(id), findEnded(id));
       return;
     }
     // A job that waits is cancelled with any that it needs: those must be as they were, too.
@@ -192,7 +196,7 @@
     Optional<Collection<Job>> needed =
         dependencies.transitiveDependencies(job, most / SHARE_OF_QUERY);
     if (needed.isEmpty() || comparison.guardedKeys.size() + needed.get().size() + 1 > most) {
-      tell(comparison.queries.remove(id), null);
+      tell(comparison.queries.remove(id), Optional.empty());
     } else {
       comparison.guard(job, needed.get());
     }
@@ -206,7 +210,7 @@
         (id, callbacks) -> {
           if (result.isCommitted()) {
             context.count("status.unchanged");
-            tell(callbacks, comparison.statuses.get(id));
+            tell(callbacks, Optional.ofNullable(comparison.statuses.get(id)));
           } else if (comparisonsLeft > 1
               && !failedKeys.isEmpty()
               && Collections.disjoint(failedKeys, comparison.keysByJob.get(id))) {
@@ -215,7 +219,7 @@
             again.put(id, callbacks);
           } else {
             context.count("status.changed");
-            tell(callbacks, ended.getIfPresent(id));
+            tell(callbacks, findEnded(id));
           }
         });
     if (!again.isEmpty()) {
--- a/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
+++ b/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
@@ -44,15 +44,7 @@
 
   private void logUse(TeamUse use, long revision) {
     context.info(
-        "team.use team=%s cpus=%.2f cpus_max=%.2f gpus=%.2f gpus_max=%.2f shard=%s epoch=%s"
-            + " revision=%d",
-        use.team().name(),
-        use.cpus(),
-        use.team().cpusMax(),
-        use.gpus(),
-        use.team().gpusMax(),
-        lease.shard(),
-        lease.epoch(),
-        revision);
+        "team.use %s shard=%s epoch=%s revision=%d",
+        use.logFields(), lease.shard(), lease.epoch(), revision);
   }
 }
