Count and log the queries that get no status, and who uses the budget of state requests

Cause: at about 4,000 machines users' queries stayed without an answer for more than a minute, and nothing in log or metrics would have told why: refusals were counted by reason only, not by where the answer was looked for; nothing said how long a job had been without an answer, who used the budget of state requests, why a recovery began again, or that the limit on connections refused users.

New: shard.recovery.restarted, pages of shard.recovered, connections.limit_reached, status.pending, state.requests.by.*, leader.term, connections of workers and the limit. The simulated state service can enforce its rates (`state ... enforced`); no scenario uses it yet.

--- a/src/main/java/shorecrank/coordination/ControllerStateMachine.java
+++ b/src/main/java/shorecrank/coordination/ControllerStateMachine.java
@@ -118,8 +118,7 @@
     methods = new MethodGuard(context);
     RequestForwarder forwarder = new RequestForwarder(context, election, peerReachability);
     users =
-        new UserRequestRouter(
-            context, methods, cancellations, forwarder::forward, statusQueries::query);
+        new UserRequestRouter(context, methods, cancellations, forwarder::forward, statusQueries);
     peers =
         new PeerRequestRouter(
             context,
@@ -198,6 +197,7 @@
     shards.tick(tick.budget());
     statusQueries.sendPending();
     cancellations.tick(shards.oldestCancellationView());
+    users.tick();
   }
 
   /**
--- a/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
+++ b/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import shorecrank.coordination.request.QuerySource;
+import shorecrank.coordination.request.StatusHandler;
 import shorecrank.coordination.shard.ShardOwner;
 import shorecrank.coordination.shard.StatusQueries.StatusCallback;
 import shorecrank.coordination.step.StepContext;
@@ -24,7 +26,7 @@
  * answers such queries from other controllers. The queries between two ticks about the jobs of one
  * shard are sent to its owner in one message.
  */
-final class StatusQueryForwarder {
+final class StatusQueryForwarder implements StatusHandler.OwnerQuery {
   private static final int QUERY_TIMEOUT_MS = 700;
 
   private final StepContext context;
@@ -38,13 +40,16 @@
     this.shards = shards;
   }
 
-  /**
-   * Queries the shard's owner for the job's status.
-   *
-   * @param callback receives the status; empty if the owner is unknown, does not answer or does not
-   *     know the status
-   */
-  void query(ShardId shard, JobId job, StatusCallback callback) {
+  @Override
+  public QuerySource locate(ShardId shard) {
+    if (shards.find(shard) != null) {
+      return QuerySource.OWNER_LOCAL;
+    }
+    return owners.findOther(shard).isPresent() ? QuerySource.OWNER_REMOTE : QuerySource.NONE;
+  }
+
+  @Override
+  public void query(ShardId shard, JobId job, StatusCallback callback) {
     ShardOwner shardOwner = shards.find(shard);
     if (shardOwner != null) {
       shardOwner.queryStatus(job, callback);
--- a/src/main/java/shorecrank/coordination/UserRequestRouter.java
+++ b/src/main/java/shorecrank/coordination/UserRequestRouter.java
@@ -6,6 +6,7 @@
 import shorecrank.coordination.model.CancellationLog;
 import shorecrank.coordination.request.CancellationHandler;
 import shorecrank.coordination.request.JobLookup;
+import shorecrank.coordination.request.QueryAnswerMonitor;
 import shorecrank.coordination.request.StatusHandler;
 import shorecrank.coordination.request.SubmissionHandler;
 import shorecrank.coordination.request.UserReplies;
@@ -25,6 +26,7 @@
   private final SubmissionHandler submissions;
   private final CancellationHandler cancellations;
   private final StatusHandler statuses;
+  private final QueryAnswerMonitor queryMonitor;
 
   /**
    * Creates the router and the handlers behind it.
@@ -41,10 +43,12 @@
     this.context = context;
     this.methods = methods;
     JobLookup jobs = new JobLookup(context, cancellationLog);
-    UserReplies replies = new UserReplies(context, forwarder);
+    this.queryMonitor = new QueryAnswerMonitor(context);
+    UserReplies replies = new UserReplies(context, forwarder, queryMonitor);
     this.submissions = new SubmissionHandler(context, cancellationLog, jobs, replies);
     this.cancellations = new CancellationHandler(context, cancellationLog, jobs, replies);
-    this.statuses = new StatusHandler(context, cancellationLog, jobs, replies, owners);
+    this.statuses =
+        new StatusHandler(context, cancellationLog, jobs, replies, owners, queryMonitor);
   }
 
   /** Updates the types of machines that can be rented, which submissions are checked against. */
@@ -52,6 +56,11 @@
     submissions.updateCatalog(types);
   }
 
+  /** Updates the metrics of unanswered queries. */
+  void tick() {
+    queryMonitor.tick();
+  }
+
   /** Passes the request to its handler, which answers it in this step or a later one. */
   void route(UserRequest request) {
     String path = request.path();
--- a/src/main/java/shorecrank/coordination/leader/Election.java
+++ b/src/main/java/shorecrank/coordination/leader/Election.java
@@ -364,6 +364,7 @@
     validUntil = validUntil(grantSent);
     renewAt = context.now().plus(context.settings().leaderTtlMs() / RENEWALS_PER_TTL);
     context.info("leader.elected term=%s", term);
+    context.gauge("leader.term", term.value());
     context.count("leader.elected");
   }
 
@@ -414,6 +415,7 @@
       }
       case ENDED -> {
         context.info("leader.term.ended term=%s", term);
+        context.gauge("leader.term", 0);
         context.count("leader.lost");
         leader = null;
         validUntil = MonotonicTime.NEVER;
--- a/src/main/java/shorecrank/coordination/request/JobLookup.java
+++ b/src/main/java/shorecrank/coordination/request/JobLookup.java
@@ -88,6 +88,7 @@
       return;
     }
     String key = JobRecord.liveKey(id);
+    context.count("state.requests.by.lookup");
     context
         .store()
         .read(
@@ -116,6 +117,7 @@
 
   private void findFinal(JobId id, Consumer<LookupResult> callback) {
     String key = JobRecord.finalKey(id);
+    context.count("state.requests.by.lookup");
     context
         .store()
         .read(key, READ_TIMEOUT_MS, result -> callback.accept(readFinal(id, key, result)));
--- a/src/main/java/shorecrank/coordination/request/RetryReason.java
+++ b/src/main/java/shorecrank/coordination/request/RetryReason.java
@@ -27,7 +27,7 @@
 
   RetryReason(String text) {
     this.text = text;
-    this.metric = METRIC_PREFIX + text.replace(' ', '_');
+    this.metric = METRIC_PREFIX + label();
   }
 
   /** Returns the error message for the user. */
@@ -35,6 +35,11 @@
     return text;
   }
 
+  /** Returns the reason as one word, for log lines and metrics. */
+  String label() {
+    return text.replace(' ', '_');
+  }
+
   /** Returns the name of the metric that counts answers with this reason. */
   String metric() {
     return metric;
--- a/src/main/java/shorecrank/coordination/request/StatusHandler.java
+++ b/src/main/java/shorecrank/coordination/request/StatusHandler.java
@@ -21,10 +21,13 @@
   private final KnownJobReplies knownJobs;
   private final UserReplies replies;
   private final OwnerQuery owners;
+  private final QueryAnswerMonitor monitor;
 
   /** Queries the owner of a shard, on this or another controller. */
-  @FunctionalInterface
   public interface OwnerQuery {
+    /** Returns whether the shard's owner is this process, another controller, or not known. */
+    QuerySource locate(ShardId shard);
+
     /**
      * Queries the status of a job.
      *
@@ -39,13 +42,15 @@
       CancellationLog cancellations,
       JobLookup jobs,
       UserReplies replies,
-      OwnerQuery owners) {
+      OwnerQuery owners,
+      QueryAnswerMonitor monitor) {
     this.context = context;
     this.cancellations = cancellations;
     this.jobs = jobs;
     this.knownJobs = new KnownJobReplies(cancellations, replies);
     this.replies = replies;
     this.owners = owners;
+    this.monitor = monitor;
   }
 
   /**
@@ -59,10 +64,12 @@
       return;
     }
     JobId id = new JobId(name);
+    monitor.begin(request, id);
     Optional<ShardId> shard = jobs.findShard(id);
     if (shard.isEmpty() || jobs.isFinished(id)) {
       answerFromStore(request, id);
     } else {
+      monitor.recordSource(request, owners.locate(shard.get()));
       owners.query(shard.get(), id, status -> onOwnerReply(request, id, status));
     }
   }
@@ -79,6 +86,7 @@
   }
 
   private void answerFromStore(UserRequest request, JobId id) {
+    monitor.recordSource(request, QuerySource.STORE);
     if (!jobs.isFinished(id)) {
       if (!context.isStoreReachable()) {
         replies.forwardOrRetryLater(request);
--- a/src/main/java/shorecrank/coordination/request/UserReplies.java
+++ b/src/main/java/shorecrank/coordination/request/UserReplies.java
@@ -24,6 +24,7 @@
 
   private final StepContext context;
   private final Forwarder forwarder;
+  private final QueryAnswerMonitor monitor;
 
   /** Forwards a request to a controller that reaches the state service. */
   @FunctionalInterface
@@ -38,9 +39,10 @@
   }
 
   /** Creates the replies of one controller. */
-  public UserReplies(StepContext context, Forwarder forwarder) {
+  public UserReplies(StepContext context, Forwarder forwarder, QueryAnswerMonitor monitor) {
     this.context = context;
     this.forwarder = forwarder;
+    this.monitor = monitor;
   }
 
   /** Answers that the job has been accepted. */
@@ -76,6 +78,7 @@
   /** Tells the user to repeat the request later. */
   void sendRetryLater(UserRequest request, RetryReason reason) {
     context.count(reason.metric());
+    monitor.recordReason(request, reason);
     context.replyWithRetryAfter(
         request.reply(), UNAVAILABLE, Json.error(reason.text()), RETRY_AFTER_S);
   }
@@ -90,6 +93,8 @@
         || !forwarder.forward(
             request, () -> sendRetryLater(request, RetryReason.STORE_UNAVAILABLE))) {
       sendRetryLater(request, RetryReason.STORE_UNAVAILABLE);
+    } else {
+      monitor.recordSource(request, QuerySource.FORWARDED);
     }
   }
 
--- a/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
+++ b/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
@@ -291,6 +291,7 @@
 
   private void commit(Batch batch) {
     inFlight++;
+    context.count("state.requests.by.record_write");
     context
         .store()
         .commit(
--- a/src/main/java/shorecrank/coordination/shard/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardOwner.java
@@ -306,6 +306,7 @@
     machines.expireLeases(liveness);
     machines.revokeMovableAttempts();
     UtilizationGauges.update(context, state);
+    statusQueries.updateGauges();
     UtilizationGauges.updateTeams(context, jobs.teamUsages());
     quotaGuard.review();
     isMissingManyWorkers = liveness.isMissingManyWorkers();
--- a/src/main/java/shorecrank/coordination/shard/ShardRecovery.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardRecovery.java
@@ -58,6 +58,10 @@
   private long listingNumber;
 
   private boolean listingInProgress;
+
+  /** Number of pages of the current listing that were read. */
+  private int pages;
+
   private MonotonicTime listRetryAt = new MonotonicTime(0);
   private boolean watchInProgress;
   private MonotonicTime watchRetryAt = new MonotonicTime(0);
@@ -120,12 +124,20 @@
   void restartIfRequested(boolean isWriteInFlight) {
     if (restartRequested && !isWriteInFlight) {
       restartRequested = false;
-      restart();
+      restart("epoch_raised");
     }
   }
 
-  /** Removes all jobs, so that a new listing can begin. */
-  private void restart() {
+  /**
+   * Removes all jobs, so that a new listing can begin.
+   *
+   * @param reason why the records are read again, for the log
+   */
+  private void restart(String reason) {
+    context.count("shard.recovery.restarts");
+    context.info(
+        "shard.recovery.restarted shard=%s epoch=%s reason=%s pages=%d revision=%d",
+        lease.shard(), lease.epoch(), reason, pages, knownRevision);
     lifecycle.removeAll();
     ready = false;
     listingInProgress = false;
@@ -145,10 +157,12 @@
   void list() {
     listingInProgress = true;
     knownRevision = -1;
+    pages = 0;
     listPage("", ++listingNumber, context.now());
   }
 
   private void listPage(String after, long ofListingNumber, MonotonicTime began) {
+    context.count("state.requests.by.recovery");
     context
         .store()
         .list(
@@ -167,12 +181,13 @@
                     context
                         .now()
                         .plus(LIST_RETRY_MS + context.random().nextInt(LIST_RETRY_SPREAD_MS));
-                restart();
+                restart("page_unavailable");
               }
             });
   }
 
   private void handlePage(ListResult.Page page, long ofListingNumber, MonotonicTime began) {
+    pages++;
     if (knownRevision < 0) {
       knownRevision = page.revision();
     }
@@ -194,7 +209,7 @@
     advanceShownUpTo(began);
     ready = true;
     readySince = context.now();
-    new TakeoverLog(context, lease, jobs).logRecovered(knownRevision, began);
+    new TakeoverLog(context, lease, jobs).logRecovered(knownRevision, began, pages);
   }
 
   private boolean isOfShard(JobRecord record) {
@@ -224,6 +239,7 @@
     watchInProgress = true;
     long ofListingNumber = listingNumber;
     MonotonicTime sent = context.now();
+    context.count("state.requests.by.watch");
     context
         .store()
         .watch(
@@ -240,7 +256,7 @@
 
   private void handleWatchResult(WatchResult result, MonotonicTime sent) {
     if (result instanceof WatchResult.Compacted) {
-      restart();
+      restart("changes_compacted");
     } else if (result instanceof WatchResult.Changes changes) {
       for (Change change : changes.changes()) {
         handleChange(new JobId(change.key().substring(JobRecord.LIVE_PREFIX.length())), change);
@@ -249,6 +265,7 @@
       advanceShownUpTo(sent);
       watchRetryAt = context.now().plus(WATCH_PAUSE_MS);
     } else {
+      context.count("shard.watch.unanswered");
       watchRetryAt = context.now().plus(WATCH_RETRY_MS + context.random().nextInt(WATCH_RETRY_MS));
     }
   }
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -17,6 +17,7 @@
 import shorecrank.coordination.scheduling.DependencyGraph;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.StoreMessages.Transaction;
 import shorecrank.protocol.UserMessages.JobState;
 import shorecrank.protocol.UserMessages.JobStatus;
@@ -60,6 +61,9 @@
     void onStatus(Optional<JobStatus> jobStatus);
   }
 
+  /** The queries about one job that wait for a comparison. */
+  private record PendingQuery(MonotonicTime addedAt, List<StatusCallback> callbacks) {}
+
   /** The queries that one transaction answers. */
   private static final class Comparison {
     final Map<JobId, List<StatusCallback>> queries;
@@ -112,7 +116,9 @@
   private final Cache<JobId, JobStatus> ended =
       Caffeine.newBuilder().maximumSize(MAX_ENDED_JOBS).executor(Runnable::run).build();
 
-  private final Map<JobId, List<StatusCallback>> pending = new LinkedHashMap<>();
+  /** The queries that wait for the next comparison, oldest first. */
+  private final Map<JobId, PendingQuery> pending = new LinkedHashMap<>();
+
   private boolean comparing;
 
   StatusQueries(StepContext context, ShardJobs jobs, DependencyGraph dependencies) {
@@ -136,7 +142,10 @@
     if (endStatus.isPresent() || !isOwner || jobs.find(id) == null) {
       callback.onStatus(endStatus);
     } else {
-      pending.computeIfAbsent(id, absent -> new ArrayList<>(1)).add(callback);
+      pending
+          .computeIfAbsent(id, absent -> new PendingQuery(context.now(), new ArrayList<>(1)))
+          .callbacks()
+          .add(callback);
     }
   }
 
@@ -146,7 +155,7 @@
 
   /** Answers all pending queries with an empty status, since the ownership has ended. */
   void close() {
-    pending.values().forEach(callbacks -> complete(callbacks, Optional.empty()));
+    pending.values().forEach(query -> complete(query.callbacks(), Optional.empty()));
     pending.clear();
   }
 
@@ -154,6 +163,14 @@
     callbacks.forEach(callback -> callback.onStatus(status));
   }
 
+  /** Updates the gauges of the pending queries' number and age. */
+  void updateGauges() {
+    context.gauge("status.pending", pending.size());
+    long ageMs =
+        pending.isEmpty() ? 0 : context.now().since(pending.values().iterator().next().addedAt());
+    context.gauge("status.pending.age_ms", ageMs);
+  }
+
   /**
    * Compares the records of the pending queries, unless a comparison is in progress; called once a
    * round.
@@ -164,10 +181,10 @@
     }
     Map<JobId, List<StatusCallback>> batch = new LinkedHashMap<>();
     int limit = maxGuards();
-    for (Iterator<Map.Entry<JobId, List<StatusCallback>>> iterator = pending.entrySet().iterator();
+    for (Iterator<Map.Entry<JobId, PendingQuery>> iterator = pending.entrySet().iterator();
         iterator.hasNext() && batch.size() < limit; ) {
-      Map.Entry<JobId, List<StatusCallback>> query = iterator.next();
-      batch.put(query.getKey(), query.getValue());
+      Map.Entry<JobId, PendingQuery> query = iterator.next();
+      batch.put(query.getKey(), query.getValue().callbacks());
       iterator.remove();
     }
     compare(batch, MAX_COMPARISONS);
@@ -186,6 +203,7 @@
       return;
     }
     comparing = true;
+    context.count("state.requests.by.status_comparison");
     context
         .store()
         .commit(
--- a/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
+++ b/src/main/java/shorecrank/coordination/shard/TakeoverLog.java
@@ -26,7 +26,7 @@
    * @param revision the revision of the state service at the first page
    * @param began when the first page was requested
    */
-  void logRecovered(long revision, MonotonicTime began) {
+  void logRecovered(long revision, MonotonicTime began, int pages) {
     int attempts = 0;
     int toClaim = 0;
     for (Job job : jobs.all().values()) {
@@ -34,14 +34,16 @@
       toClaim += job.record().isTeamUsageKnown() ? 0 : 1;
     }
     context.info(
-        "shard.recovered shard=%s epoch=%s jobs=%d revision=%d attempts=%d to_claim=%d read_ms=%d",
+        "shard.recovered shard=%s epoch=%s jobs=%d revision=%d attempts=%d to_claim=%d read_ms=%d"
+            + " pages=%d",
         lease.shard(),
         lease.epoch(),
         jobs.all().size(),
         revision,
         attempts,
         toClaim,
-        context.now().since(began));
+        context.now().since(began),
+        pages);
     jobs.teamUsages().forEach(usage -> logUsage(usage, revision));
   }
 
--- a/src/main/java/shorecrank/coordination/shard/WriteOutcomeResolver.java
+++ b/src/main/java/shorecrank/coordination/shard/WriteOutcomeResolver.java
@@ -112,6 +112,7 @@
       return;
     }
     job.record().setRereading(true);
+    context.count("state.requests.by.record_reread");
     context
         .store()
         .read(
@@ -159,6 +160,7 @@
    */
   private void readFinal(Job job) {
     job.record().setRereading(true);
+    context.count("state.requests.by.record_reread");
     context
         .store()
         .read(
--- a/src/main/java/shorecrank/coordination/step/Output.java
+++ b/src/main/java/shorecrank/coordination/step/Output.java
@@ -33,6 +33,9 @@
   /** A new value of a gauge. */
   record Gauge(String metric, double value) implements Output {}
 
+  /** A measured duration, added to the metric's distribution. */
+  record Duration(String metric, long ms) implements Output {}
+
   /** The severity of a log line. */
   enum Level {
     ERROR,
--- a/src/main/java/shorecrank/coordination/step/StepContext.java
+++ b/src/main/java/shorecrank/coordination/step/StepContext.java
@@ -40,6 +40,18 @@
   private SplittableRandom random = new SplittableRandom(0);
   private MonotonicTime lastPeerContactAt = MonotonicTime.NEVER;
   private long lastInstanceNumber;
+  private ReplyObserver replyObserver = (reply, status) -> {};
+
+  /** Observes the replies to requests. */
+  @FunctionalInterface
+  public interface ReplyObserver {
+    /**
+     * Called for each reply, in the step that sends it.
+     *
+     * @param reply the number that identifies the request
+     */
+    void onReply(long reply, int status);
+  }
 
   /**
    * Creates the context of a process that has not taken a step yet.
@@ -290,6 +302,7 @@
    * @param reply the number that identifies the request
    */
   public void reply(long reply, int status, JsonNode body) {
+    replyObserver.onReply(reply, status);
     outputs.reply(reply, status, body, 0);
   }
 
@@ -300,9 +313,15 @@
    * @param retryAfterS after how many seconds the request may be repeated
    */
   public void replyWithRetryAfter(long reply, int status, JsonNode body, int retryAfterS) {
+    replyObserver.onReply(reply, status);
     outputs.reply(reply, status, body, retryAfterS);
   }
 
+  /** Sets the observer of all replies from now on. */
+  public void observeReplies(ReplyObserver observer) {
+    replyObserver = observer;
+  }
+
   /** Logs an event of normal operation. */
   public void info(String format, Object... args) {
     outputs.log(Output.Level.INFO, String.format(format, args));
@@ -353,6 +372,11 @@
     outputs.count(metric, by);
   }
 
+  /** Adds a duration, in milliseconds, to the distribution of a metric. */
+  public void duration(String metric, long ms) {
+    outputs.duration(metric, ms);
+  }
+
   /** Sets a gauge. */
   public void gauge(String metric, double value) {
     outputs.gauge(metric, value);
--- a/src/main/java/shorecrank/coordination/step/StepOutputs.java
+++ b/src/main/java/shorecrank/coordination/step/StepOutputs.java
@@ -49,6 +49,11 @@
     outputs.add(new Output.Gauge(metric, value));
   }
 
+  /** Adds a measured duration. */
+  void duration(String metric, long ms) {
+    outputs.add(new Output.Duration(metric, ms));
+  }
+
   /**
    * Counts an error, and logs it unless an error with the same metric was logged within {@link
    * #ERROR_LOG_PAUSE_MS}.
--- a/src/main/java/shorecrank/storage/RateLimiter.java
+++ b/src/main/java/shorecrank/storage/RateLimiter.java
@@ -41,6 +41,11 @@
     return tokens >= Math.min(count, rate);
   }
 
+  /** Returns the number of available tokens; negative while a debt is paid off. */
+  public double available(MonotonicTime now) {
+    return tokensAt(now);
+  }
+
   /** Takes tokens, even if they are not available; the number of tokens may become negative. */
   public void take(double count, MonotonicTime now) {
     refill(now);
@@ -65,9 +70,14 @@
   }
 
   private void refill(MonotonicTime now) {
-    if (refilledAt != null) {
-      tokens = Math.min(rate, tokens + rate * Math.max(0, now.since(refilledAt)) / MS_PER_S);
-    }
+    tokens = tokensAt(now);
     refilledAt = now;
   }
+
+  private double tokensAt(MonotonicTime now) {
+    if (refilledAt == null) {
+      return tokens;
+    }
+    return Math.min(rate, tokens + rate * Math.max(0, now.since(refilledAt)) / MS_PER_S);
+  }
 }
--- a/src/main/java/shorecrank/transport/ControllerEventLoop.java
+++ b/src/main/java/shorecrank/transport/ControllerEventLoop.java
@@ -33,6 +33,10 @@
   private static final Logger LOG = LoggerFactory.getLogger("shorecrank");
   private static final int EXIT_STEP_FAILED = 3;
   private static final int METRICS_LOG_PERIOD_S = 10;
+
+  /** Refused connections are logged at most once in this time. */
+  private static final int REFUSAL_LOG_PERIOD_S = 5;
+
   private static final String METRICS_PATH = "/metrics";
 
   /** The shortest idle time after which a server closes a connection. */
@@ -73,6 +77,8 @@
   /** The time on {@link #nanoClock} at which the next scheduling round is due. */
   private long nextRoundNanos;
 
+  private long nextRefusalLogNanos = Long.MIN_VALUE;
+
   /**
    * Creates an event loop that does nothing until it is started.
    *
@@ -105,16 +111,20 @@
             (int) (sockets * PUBLIC_SOCKETS_FRACTION),
             idleS,
             HttpServer.MAX_BODY_BYTES,
+            this::onConnectionRefused,
             (exchange, method, path, body) -> receive(exchange, false, method, path, body));
     HttpServer peers =
         new HttpServer(
             Math.max(MIN_PEER_SOCKETS, (int) (sockets * PEER_SOCKETS_FRACTION)),
             idleS,
             HttpServer.MAX_PEER_BODY_BYTES,
+            this::onPeerConnectionRefused,
             (exchange, method, path, body) -> receive(exchange, true, method, path, body));
     users.bind(eventLoops, config.publicAddr());
     peers.bind(eventLoops, config.peerBind());
     metrics.registerGauge("sockets.public", users, HttpServer::openConnections);
+    metrics.registerGauge("sockets.public.workers", users, HttpServer::workerConnections);
+    metrics.registerGauge("sockets.public.limit", users, HttpServer::maxConnections);
     metrics.registerGauge("sockets.peers.in", peers, HttpServer::openConnections);
     nextRoundNanos = nanoClock.nanoTime();
     loop.execute(this::runRound);
@@ -124,6 +134,24 @@
     }
   }
 
+  private void onConnectionRefused(boolean isClosed) {
+    reportRefusedConnection("users", isClosed);
+  }
+
+  private void onPeerConnectionRefused(boolean isClosed) {
+    reportRefusedConnection("peers", isClosed);
+  }
+
+  /** Counts a refusal because of a limit on connections, and logs it at a limited rate. */
+  private void reportRefusedConnection(String server, boolean isClosed) {
+    metrics.increment("connections.refused." + server + (isClosed ? ".closed" : ".503"), 1);
+    long now = nanoClock.nanoTime();
+    if (now >= nextRefusalLogNanos) {
+      nextRefusalLogNanos = now + TimeUnit.SECONDS.toNanos(REFUSAL_LOG_PERIOD_S);
+      LOG.error("connections.limit_reached server={} closed={}", server, isClosed);
+    }
+  }
+
   private void receive(
       Exchange exchange, boolean fromPeer, String method, String path, byte[] body) {
     if (fromPeer && path.equals(METRICS_PATH)) {
@@ -181,6 +209,8 @@
       log(log);
     } else if (output instanceof Output.Count count) {
       metrics.increment(count.metric(), count.by());
+    } else if (output instanceof Output.Duration duration) {
+      metrics.recordDuration(duration.metric(), duration.ms());
     } else if (output instanceof Output.Gauge gauge) {
       metrics.updateGauge(gauge.metric(), gauge.value());
     }
--- a/src/main/java/shorecrank/transport/ControllerMetrics.java
+++ b/src/main/java/shorecrank/transport/ControllerMetrics.java
@@ -67,6 +67,11 @@
     return input instanceof Input.Tick ? "round" : "answer";
   }
 
+  /** Adds a duration to a timer, which is created if it does not exist. */
+  void recordDuration(String metric, long ms) {
+    registry.timer(metric).record(ms, TimeUnit.MILLISECONDS);
+  }
+
   /** Adds a number to a counter, which is created if it does not exist. */
   void increment(String metric, long by) {
     registry.counter(metric).increment(by);
--- a/src/main/java/shorecrank/transport/HttpServer.java
+++ b/src/main/java/shorecrank/transport/HttpServer.java
@@ -41,6 +41,13 @@
     void handle(Exchange exchange, String method, String path, byte[] body);
   }
 
+  /** Observes connections that are not served because there are too many. */
+  @FunctionalInterface
+  interface ConnectionEvents {
+    /** Called when a connection is closed at once, or a request is refused because of the limit. */
+    void onRefused(boolean isClosed);
+  }
+
   /** The maximum body size of requests from users and workers, as defined by the protocol. */
   static final int MAX_BODY_BYTES = 64 * 1024;
 
@@ -53,6 +60,8 @@
    */
   private static final String HEALTH_PATH = "/healthz";
 
+  private static final String WORKER_PATH = "/v1/report";
+
   /**
    * The number of connections accepted beyond {@code maxConnections}, as a fraction of it. Requests
    * on them, except health checks, are answered with status 503. Further connections are closed at
@@ -67,7 +76,9 @@
   private final int idleS;
   private final int maxBodyBytes;
   private final RequestHandler handler;
+  private final ConnectionEvents events;
   private int openConnections;
+  private int workerConnections;
 
   /**
    * Creates a server that is not bound to an address yet.
@@ -78,8 +89,15 @@
    * @param idleS the time in seconds after which a connection without traffic is closed, as the
    *     client may be gone while the connection still counts towards the limit
    * @param maxBodyBytes the maximum size of a request's body
+   * @param events receives what the limit on connections refuses
    */
-  HttpServer(int maxConnections, int idleS, int maxBodyBytes, RequestHandler handler) {
+  HttpServer(
+      int maxConnections,
+      int idleS,
+      int maxBodyBytes,
+      ConnectionEvents events,
+      RequestHandler handler) {
+    this.events = events;
     this.maxConnections = maxConnections;
     this.idleS = idleS;
     this.maxBodyBytes = maxBodyBytes;
@@ -91,6 +109,16 @@
     return openConnections;
   }
 
+  /** Returns the number of open connections on which a worker has sent a heartbeat. */
+  int workerConnections() {
+    return workerConnections;
+  }
+
+  /** Returns the limit on connections. */
+  int maxConnections() {
+    return maxConnections;
+  }
+
   /** Binds an address; throws an {@code IOException}, undeclared, if it cannot be bound. */
   void bind(EventLoopGroup group, Address address) throws InterruptedException {
     new ServerBootstrap()
@@ -114,6 +142,7 @@
   private void accept(SocketChannel channel) {
     if (openConnections >= maxConnections * (1 + EXCESS_FRACTION)) {
       channel.close();
+      events.onRefused(true);
       return;
     }
     boolean isExcess = openConnections >= maxConnections;
@@ -167,6 +196,7 @@
    */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final boolean isExcess;
+    private boolean isWorker;
 
     /**
      * Creates the handler of a connection.
@@ -184,13 +214,29 @@
         refuse(channel, 400, "malformed request", 0);
       } else if (isExcess && !request.uri().equals(HEALTH_PATH)) {
         refuse(channel, 503, "too many connections", OVERLOAD_RETRY_AFTER_S);
+        events.onRefused(false);
       } else {
         Exchange exchange = new Exchange(channel, HttpUtil.isKeepAlive(request));
+        countWorker(request.uri());
         byte[] body = ByteBufUtil.getBytes(request.content());
         handler.handle(exchange, request.method().name(), request.uri(), body);
       }
     }
 
+    private void countWorker(String path) {
+      if (!isWorker && path.equals(WORKER_PATH)) {
+        isWorker = true;
+        workerConnections++;
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext channel) {
+      if (isWorker) {
+        workerConnections--;
+      }
+    }
+
     private void refuse(ChannelHandlerContext channel, int status, String reason, int retryAfterS) {
       new Exchange(channel, false)
           .reply(status, JSON_CONTENT_TYPE, Json.bytes(Json.error(reason)), retryAfterS);
--- a/src/test/java/shorecrank/sim/Declarations.java
+++ b/src/test/java/shorecrank/sim/Declarations.java
@@ -83,12 +83,14 @@
   /**
    * Parses {@code state} with the limits of the state service: those in force and, with the prefix
    * {@code next-}, those that come later. The later ones are announced to the controllers unless
-   * {@code unannounced} is given.
+   * {@code unannounced} is given. The rates are known to the controllers; the simulated service
+   * refuses requests above them only if {@code enforced} is given.
    */
   private static Declaration state(ScenarioLine line) {
     String[] names = {"rps", "writes", "ops", "value", "next-value", "next-ops"};
     ScenarioOptions options = line.options(1);
-    options.allow("rps", "writes", "ops", "value", "next-value", "next-ops", "unannounced");
+    options.allow(
+        "rps", "writes", "ops", "value", "next-value", "next-ops", "unannounced", "enforced");
     options.requireNumbers(names);
     return setup -> {
       Site site = setup.world().site;
@@ -96,6 +98,9 @@
       site.setStateRates(
           options.decimal("rps", site.stateRequestsPerS()),
           options.decimal("writes", site.stateWritesPerS()));
+      if (options.has("enforced")) {
+        store.limitRates(site.stateRequestsPerS(), site.stateWritesPerS());
+      }
       int operations = options.integer("ops", store.limits().transactionOperations());
       store.setLimits(
           new StateLimits(operations, options.integer("value", store.limits().valueKb())));
--- a/src/test/java/shorecrank/sim/SimulatedStateService.java
+++ b/src/test/java/shorecrank/sim/SimulatedStateService.java
@@ -1,5 +1,7 @@
 package shorecrank.sim;
 
+import static shorecrank.protocol.HttpStatus.TOO_MANY_REQUESTS;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -39,6 +41,10 @@
   private final List<Watch> watches = new ArrayList<>();
   private final List<Consumer<JsonNode>> observers = new ArrayList<>();
   private StateLimits limits = new StateLimits(16, 16);
+
+  /** Null while no rate is limited. */
+  private StateServiceRates rates;
+
   private long revision;
   private long outageUntilMs = -1;
   private long lateByMs;
@@ -64,6 +70,11 @@
     limits = newLimits;
   }
 
+  /** Refuses requests above these rates from now on, with status 429. */
+  void limitRates(double requestsPerS, double writesPerS) {
+    rates = new StateServiceRates(sim, requestsPerS, writesPerS);
+  }
+
   /**
    * Registers an observer that gets the operations of each transaction right before they are
    * applied.
@@ -134,7 +145,13 @@
 
   /** Handles a request immediately. */
   void handle(String method, String path, JsonNode body, ReplyHandler reply) {
-    meter.add(body == null ? 0 : body.path("apply").size());
+    int operations = body == null ? 0 : body.path("apply").size();
+    meter.add(operations);
+    if (rates != null && !isInOutage() && !rates.tryTake(operations)) {
+      meter.addRefusedForRate();
+      reply.accept(TOO_MANY_REQUESTS, Json.error("rate"));
+      return;
+    }
     String[] pathAndQuery = path.split("\\?", 2);
     String resource = pathAndQuery[0];
     Map<String, String> query = query(pathAndQuery.length > 1 ? pathAndQuery[1] : "");
