--- a/src/test/java/shorecrank/sim/Declarations.java
+++ b/src/test/java/shorecrank/sim/Declarations.java
@@ -16,6 +16,8 @@
           Map.entry("zones", Declarations::zones),
           Map.entry("workers", Declarations::workers),
           Map.entry("state", Declarations::state),
+          Map.entry("processor", Declarations::processor),
+          Map.entry("load-balancer", Declarations::loadBalancer),
           Map.entry("type", Declarations::type),
           Map.entry("team", Declarations::team),
           Map.entry("objective", Declarations::objective),
@@ -35,6 +37,7 @@
           Map.entry("on", Declarations::on),
           Map.entry("until", Declarations::until));
 
+  private static final double MS_PER_S = 1000;
   private static final String TRIGGER_SEPARATOR = " : ";
 
   private Declarations() {}
@@ -113,6 +116,34 @@
     };
   }
 
+  /**
+   * Parses {@code processor heartbeat=MS user=MS other=MS [cold=FACTOR] [warm-up=S]}: how long a
+   * controller's processor takes for an input, and how many times longer in the first seconds of
+   * processor time after its start.
+   */
+  private static Declaration processor(ScenarioLine line) {
+    String[] names = {"heartbeat", "user", "other", "cold", "warm-up"};
+    ScenarioOptions options = line.options(1).allow(names).requireNumbers(names);
+    ProcessorCosts costs =
+        new ProcessorCosts(
+            options.decimal("heartbeat", 0),
+            options.decimal("user", 0),
+            options.decimal("other", 0),
+            options.decimal("cold", 1),
+            options.decimal("warm-up", 0) * MS_PER_S);
+    return setup -> setup.world().site.setProcessorCosts(costs);
+  }
+
+  /**
+   * Parses {@code load-balancer}: users reach the controllers through a load balancer that probes
+   * them, as the protocol describes it.
+   */
+  private static Declaration loadBalancer(ScenarioLine line) {
+    return setup ->
+        setup.afterStart(
+            () -> setup.world().users.client().useLoadBalancer(new LoadBalancer(setup.world())));
+  }
+
   /** Parses {@code type NAME options}: a machine type. */
   private static Declaration type(ScenarioLine line) {
     String name = line.word(1);
--- a/src/test/java/shorecrank/sim/SimulatedController.java
+++ b/src/test/java/shorecrank/sim/SimulatedController.java
@@ -37,6 +37,7 @@
   private final Map<Long, ReplyHandler> replies = new HashMap<>();
   private long nextReply = 1;
   private ControllerStateMachine stateMachine;
+  private SimulatedProcessor processor;
   private long frozenUntilMs = -1;
   private long busyNanos;
 
@@ -63,6 +64,8 @@
             writer,
             setup,
             world().shares.settingsFor(this));
+    processor =
+        world().site.processorCosts().map(costs -> new SimulatedProcessor(sim, costs)).orElse(null);
     int startNumber = startCount();
     sim.after(FIRST_TICK_MS + sim.random().nextInt(FIRST_TICK_SPREAD_MS), () -> tick(startNumber));
   }
@@ -86,7 +89,16 @@
       sim.at(frozenUntilMs, () -> tick(startNumber));
       return;
     }
-    step(new Input.Tick(() -> false));
+    Input round = new Input.Tick(() -> false);
+    if (processor == null) {
+      runRound(round, startNumber);
+    } else {
+      processor.execute(round, () -> isSameRun(startNumber), () -> runRound(round, startNumber));
+    }
+  }
+
+  private void runRound(Input round, int startNumber) {
+    step(round);
     world().checker.roundCompleted(this);
     world().counters.addRounds(stateMachine.ownedEpochs().size());
     sim.after(TICK_MS, () -> tick(startNumber));
@@ -96,16 +108,20 @@
    * Passes an input to the state machine. A frozen controller processes it when the freeze ends.
    */
   void input(Input input) {
+    int startNumber = startCount();
     if (sim.now() >= frozenUntilMs) {
-      step(input);
+      if (processor == null) {
+        step(input);
+      } else {
+        processor.execute(input, () -> isSameRun(startNumber), () -> step(input));
+      }
       return;
     }
-    int startNumber = startCount();
     sim.at(
         frozenUntilMs,
         () -> {
           if (isSameRun(startNumber)) {
-            step(input);
+            input(input);
           }
         });
   }
--- a/src/test/java/shorecrank/sim/Site.java
+++ b/src/test/java/shorecrank/sim/Site.java
@@ -20,6 +20,7 @@
   private double stateRequestsPerS = 100;
   private double stateWritesPerS = 50;
   private StateLimits nextLimits;
+  private ProcessorCosts processorCosts;
   private boolean nextLimitsAnnounced;
 
   /** Sets the zones; controllers are placed in them in turn. */
@@ -32,6 +33,16 @@
     return zones.get(controller % zones.size());
   }
 
+  /** Sets what inputs cost the controllers; without it, they take no time. */
+  void setProcessorCosts(ProcessorCosts costs) {
+    processorCosts = costs;
+  }
+
+  /** Returns what inputs cost the controllers; empty if they take no time. */
+  Optional<ProcessorCosts> processorCosts() {
+    return Optional.ofNullable(processorCosts);
+  }
+
   /** Adds a machine type. */
   void addType(String name, MachineType type) {
     types.put(name, type);
--- a/src/test/java/shorecrank/sim/UserClient.java
+++ b/src/test/java/shorecrank/sim/UserClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Sends users' requests through a load balancer, and has every answer checked. */
@@ -20,6 +21,10 @@
   private final World world;
   private final Simulation sim;
   private final AnswerObserver observer;
+
+  /** Null for a simple choice among the controllers that are up. */
+  private LoadBalancer loadBalancer;
+
   private final Set<String> jobsWithoutRequests = new HashSet<>();
 
   UserClient(World world, AnswerObserver observer) {
@@ -33,14 +38,44 @@
     jobsWithoutRequests.add(job);
   }
 
+  /** Has requests sent through a load balancer that probes the controllers. */
+  void useLoadBalancer(LoadBalancer balancer) {
+    loadBalancer = balancer;
+  }
+
   /** Sends a request to a controller that the load balancer chooses. */
   void send(UserRequest request, ReplyHandler reply) {
+    if (loadBalancer != null) {
+      sendThroughLoadBalancer(request, reply);
+      return;
+    }
     List<ControllerNode> nodes = world.controllers();
     List<ControllerNode> healthy = nodes.stream().filter(this::isConsideredHealthy).toList();
     List<ControllerNode> candidates = healthy.isEmpty() ? nodes : healthy;
     send(candidates.get(sim.random().nextInt(candidates.size())), request, reply);
   }
 
+  private void sendThroughLoadBalancer(UserRequest request, ReplyHandler reply) {
+    Optional<ControllerNode> node = loadBalancer.connect();
+    if (node.isPresent()) {
+      send(
+          node.get(),
+          request,
+          (status, body) -> {
+            loadBalancer.disconnect(node.get());
+            reply.accept(status, body);
+          });
+    } else {
+      long askedAtMs = sim.now();
+      sim.after(
+          1,
+          () -> {
+            world.checker.requestFinished(request.job(), askedAtMs, false);
+            reply.noAnswer();
+          });
+    }
+  }
+
   private boolean isConsideredHealthy(ControllerNode node) {
     return node.isUp() || sim.now() - node.downSinceMs() < FAILURE_DETECTION_MS;
   }
