Ask a job's owner also when this controller has not seen the job since its start

What callers saw: after a restart of all controllers, questions about accepted jobs were refused with 503 "state requests are used up" for minutes, at every controller, although all troubles were over.

Cause: a controller asked the shard's owner only for jobs whose shard it had in a cache of at most 5,000 entries, filled by its own reads and writes of records. A new process has an empty cache, so each question cost a request to the state service, of which a controller that owns nothing has 0.55 / controllers of the rate: 19.6 a second of 250 with seven. 4,000 jobs asked every 5 s are 114 a second at each controller. What was refused was not learnt, and each controller had to learn each job for itself, so who was answered was chance. The class: a right path that depends on knowledge which every restart empties, behind a limit that refuses the very requests which would fill it again.

Change: the owner is asked always; where the shard is not known, the owners of all shards. The first that knows the job answers, and its shard is cached. Only what no owner knows is read from the records, so 404 still comes from them alone. The owner compares with the records before it answers, as before, so no answer becomes older than one already given.

--- a/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
+++ b/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
@@ -9,8 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import shorecrank.coordination.request.OwnerQueries;
+import shorecrank.coordination.request.OwnerQueries.OwnerAnswer;
 import shorecrank.coordination.request.QuerySource;
-import shorecrank.coordination.request.StatusHandler;
 import shorecrank.coordination.shard.ShardOwner;
 import shorecrank.coordination.shard.StatusQueries.StatusCallback;
 import shorecrank.coordination.step.StepContext;
@@ -26,7 +29,7 @@
  * answers such queries from other controllers. The queries between two ticks about the jobs of one
  * shard are sent to its owner in one message.
  */
-final class StatusQueryForwarder implements StatusHandler.OwnerQuery {
+final class StatusQueryForwarder implements OwnerQueries {
   private static final int QUERY_TIMEOUT_MS = 700;
 
   private final StepContext context;
@@ -41,15 +44,36 @@
   }
 
   @Override
-  public QuerySource locate(ShardId shard) {
-    if (shards.find(shard) != null) {
-      return QuerySource.OWNER_LOCAL;
+  public QuerySource locate(Optional<ShardId> shard) {
+    QuerySource source = QuerySource.NONE;
+    for (ShardId candidate : candidates(shard)) {
+      if (shards.find(candidate) != null) {
+        return QuerySource.OWNER_LOCAL;
+      }
+      if (owners.findOther(candidate).isPresent()) {
+        source = QuerySource.OWNER_REMOTE;
+      }
     }
-    return owners.findOther(shard).isPresent() ? QuerySource.OWNER_REMOTE : QuerySource.NONE;
+    return source;
   }
 
   @Override
-  public void query(ShardId shard, JobId job, StatusCallback callback) {
+  public void query(Optional<ShardId> shard, JobId job, Consumer<Optional<OwnerAnswer>> callback) {
+    List<ShardId> candidates = candidates(shard);
+    FirstAnswer answer = new FirstAnswer(candidates.size(), callback);
+    for (ShardId candidate : candidates) {
+      queryOwner(candidate, job, status -> answer.add(candidate, status));
+    }
+  }
+
+  private List<ShardId> candidates(Optional<ShardId> shard) {
+    return shard
+        .map(List::of)
+        .orElseGet(
+            () -> IntStream.range(0, context.settings().shards()).mapToObj(ShardId::new).toList());
+  }
+
+  private void queryOwner(ShardId shard, JobId job, StatusCallback callback) {
     ShardOwner shardOwner = shards.find(shard);
     if (shardOwner != null) {
       shardOwner.queryStatus(job, callback);
@@ -113,6 +137,26 @@
     }
   }
 
+  /** Passes on the first answer of an owner that knows the job, or that none does. */
+  private static final class FirstAnswer {
+    private final Consumer<Optional<OwnerAnswer>> callback;
+    private int pendingOwners;
+    private boolean isAnswered;
+
+    FirstAnswer(int pendingOwners, Consumer<Optional<OwnerAnswer>> callback) {
+      this.pendingOwners = pendingOwners;
+      this.callback = callback;
+    }
+
+    void add(ShardId shard, Optional<JobStatus> status) {
+      pendingOwners--;
+      if (!isAnswered && (status.isPresent() || pendingOwners == 0)) {
+        isAnswered = true;
+        callback.accept(status.map(found -> new OwnerAnswer(shard, found)));
+      }
+    }
+  }
+
   /** Collects the answer to another controller's query and sends it once no job is pending. */
   private final class PeerAnswer {
     private final long reply;
--- a/src/main/java/shorecrank/coordination/UserRequestRouter.java
+++ b/src/main/java/shorecrank/coordination/UserRequestRouter.java
@@ -6,6 +6,7 @@
 import shorecrank.coordination.model.CancellationLog;
 import shorecrank.coordination.request.CancellationHandler;
 import shorecrank.coordination.request.JobLookup;
+import shorecrank.coordination.request.OwnerQueries;
 import shorecrank.coordination.request.QueryAnswerMonitor;
 import shorecrank.coordination.request.StatusHandler;
 import shorecrank.coordination.request.SubmissionHandler;
@@ -39,7 +40,7 @@
       MethodGuard methods,
       CancellationLog cancellationLog,
       UserReplies.Forwarder forwarder,
-      StatusHandler.OwnerQuery owners) {
+      OwnerQueries owners) {
     this.context = context;
     this.methods = methods;
     JobLookup jobs = new JobLookup(context, cancellationLog);
--- a/src/main/java/shorecrank/coordination/request/JobLookup.java
+++ b/src/main/java/shorecrank/coordination/request/JobLookup.java
@@ -30,7 +30,7 @@
   private final CancellationLog cancellations;
   private final Cache<JobId, Final> finalRecords = newCache();
 
-  /** The shards of jobs whose live record this controller has written or read. */
+  /** The shards of jobs whose live record this controller or a shard's owner has seen. */
   private final Cache<JobId, ShardId> shards = newCache();
 
   /**
@@ -52,6 +52,11 @@
     shards.put(spec.id(), ShardId.of(spec.team(), context.settings().shards()));
   }
 
+  /** Caches the shard of a job whose owner has answered for it. */
+  void cacheShard(JobId id, ShardId shard) {
+    shards.put(id, shard);
+  }
+
   /** Returns the shard of a job, or empty if it is not cached. */
   Optional<ShardId> findShard(JobId id) {
     return Optional.ofNullable(shards.getIfPresent(id));
--- a/src/main/java/shorecrank/coordination/request/StatusHandler.java
+++ b/src/main/java/shorecrank/coordination/request/StatusHandler.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import shorecrank.coordination.model.CancellationLog;
-import shorecrank.coordination.shard.StatusQueries.StatusCallback;
+import shorecrank.coordination.request.OwnerQueries.OwnerAnswer;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.ShardId;
@@ -13,6 +13,9 @@
 /**
  * Answers requests for the status of a job. Asks the shard owner first, to save requests to the
  * state service, and reads the state service if the owner does not know the status.
+ *
+ * <p>The owner is asked whether or not this process has seen the job before. After a restart it has
+ * seen none, and one read for each job would exceed its share of the requests to the state service.
  */
 public final class StatusHandler {
   private final StepContext context;
@@ -20,29 +23,16 @@
   private final JobLookup jobs;
   private final KnownJobReplies knownJobs;
   private final UserReplies replies;
-  private final OwnerQuery owners;
+  private final OwnerQueries owners;
   private final QueryAnswerMonitor monitor;
 
-  /** Queries the owner of a shard, on this or another controller. */
-  public interface OwnerQuery {
-    /** Returns whether the shard's owner is this process, another controller, or not known. */
-    QuerySource locate(ShardId shard);
-
-    /**
-     * Queries the status of a job.
-     *
-     * @param callback receives the status; empty if the owner does not know it or does not answer
-     */
-    void query(ShardId shard, JobId job, StatusCallback callback);
-  }
-
   /** Creates the handler of one controller. */
   public StatusHandler(
       StepContext context,
       CancellationLog cancellations,
       JobLookup jobs,
       UserReplies replies,
-      OwnerQuery owners,
+      OwnerQueries owners,
       QueryAnswerMonitor monitor) {
     this.context = context;
     this.cancellations = cancellations;
@@ -65,24 +55,26 @@
     }
     JobId id = new JobId(name);
     monitor.begin(request, id);
-    Optional<ShardId> shard = jobs.findShard(id);
-    if (shard.isEmpty() || jobs.isFinished(id)) {
+    if (jobs.isFinished(id)) {
       answerFromStore(request, id);
     } else {
-      monitor.recordSource(request, owners.locate(shard.get()));
-      owners.query(shard.get(), id, status -> onOwnerReply(request, id, status));
+      Optional<ShardId> shard = jobs.findShard(id);
+      monitor.recordSource(request, owners.locate(shard));
+      owners.query(shard, id, answer -> onOwnerReply(request, id, answer));
     }
   }
 
-  private void onOwnerReply(UserRequest request, JobId id, Optional<JobStatus> status) {
-    if (status.isEmpty()) {
+  private void onOwnerReply(UserRequest request, JobId id, Optional<OwnerAnswer> answer) {
+    if (answer.isEmpty()) {
       answerFromStore(request, id);
       return;
     }
-    if (status.get().state() == JobState.CANCELLED) {
+    jobs.cacheShard(id, answer.get().shard());
+    JobStatus status = answer.get().status();
+    if (status.state() == JobState.CANCELLED) {
       cancellations.recordConfirmed(id);
     }
-    replies.sendStatus(request, id, status.get());
+    replies.sendStatus(request, id, status);
   }
 
   private void answerFromStore(UserRequest request, JobId id) {
