Add a soak of real controllers under random faults, checked from outside

Need: rules were checked under random faults only in simulated time, without sockets, event loop, threads or a real process's memory.

Change: shorecrank.soak runs three real controllers on loopback with the stand-ins and rules of the simulation (SoakFleet in shorecrank.sim) under the faults that RandomFaults draws from a seed: kills, stops by SIGSTOP, cuts of every kind and direction, late and lost writes, late messages; two or three overlap. For that, requests between controllers can go through relays, requests to the state service and direct commands meet the cuts, and a controller process can be frozen.

--- a/src/test/java/shorecrank/sim/ControllerProcess.java
+++ b/src/test/java/shorecrank/sim/ControllerProcess.java
@@ -110,9 +110,26 @@
     }
   }
 
+  /** Stops the process by a signal, and lets it continue after the given time. */
   @Override
   void freeze(long durationMs) {
-    throw new UnsupportedOperationException("a process can't be frozen");
+    if (!isUp()) {
+      return;
+    }
+    Process frozen = process;
+    signal("-STOP", frozen);
+    world().sim.after(durationMs, () -> signal("-CONT", frozen));
+  }
+
+  private static void signal(String signal, Process target) {
+    if (!target.isAlive()) {
+      return;
+    }
+    try {
+      new ProcessBuilder("kill", signal, Long.toString(target.pid())).start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   /**
--- a/src/test/java/shorecrank/sim/Cuts.java
+++ b/src/test/java/shorecrank/sim/Cuts.java
@@ -96,12 +96,17 @@
    * none.
    */
   Optional<Cut> forWorker(SimulatedWorker worker, ControllerNode node, WorkerDirection direction) {
+    return forWorker(worker, direction)
+        .or(() -> forLinks(node, LinkKind.WORKERS))
+        .or(() -> betweenZones(node.zone(), worker.zone()));
+  }
+
+  /** Returns the active cut of a worker from all controllers; empty if there is none. */
+  Optional<Cut> forWorker(SimulatedWorker worker, WorkerDirection direction) {
     return workerCuts.getOrDefault(worker.name(), List.of()).stream()
         .filter(c -> c.cut.isActive(sim.now()) && c.direction.includes(direction))
         .map(WorkerCut::cut)
-        .findFirst()
-        .or(() -> forLinks(node, LinkKind.WORKERS))
-        .or(() -> betweenZones(node.zone(), worker.zone()));
+        .findFirst();
   }
 
   private Optional<Cut> forLinks(ControllerNode node, LinkKind link) {
--- a/src/test/java/shorecrank/sim/LoopbackServers.java
+++ b/src/test/java/shorecrank/sim/LoopbackServers.java
@@ -75,6 +75,9 @@
     inbox.accept(() -> handler.handle(method, path, body, reply));
     try (exchange) {
       Answer answer = future.get(ANSWER_TIMEOUT_S, TimeUnit.SECONDS);
+      if (answer.status() == ReplyHandler.NO_ANSWER) {
+        throw new IOException("no answer");
+      }
       byte[] bytes = Json.bytes(answer.body());
       exchange.sendResponseHeaders(answer.status(), bytes.length);
       exchange.getResponseBody().write(bytes);
--- a/src/test/java/shorecrank/sim/Network.java
+++ b/src/test/java/shorecrank/sim/Network.java
@@ -132,6 +132,58 @@
     send(cuts.betweenPeers(from, to), () -> to.receive(request, reply));
   }
 
+  /**
+   * Carries a controller's request to the state service; there may be no answer.
+   *
+   * @param reply receives the answer of the service
+   */
+  void sendStateRequest(
+      ControllerNode from, String method, String path, JsonNode body, ReplyHandler reply) {
+    Optional<Cut> cut = cuts.forRegionalService(from, LinkKind.STATE);
+    if (cut.isPresent() && cut.get().refuses()) {
+      reply.unavailable();
+      return;
+    }
+    ReplyHandler answer =
+        (status, found) ->
+            deliver(
+                cuts.forRegionalService(from, LinkKind.STATE), () -> reply.accept(status, found));
+    deliver(cut, () -> stateService.send(method, path, body, answer));
+  }
+
+  /** Carries a request from one controller to another; there may be no answer. */
+  void sendPeerRequest(
+      ControllerNode from, ControllerNode to, ControllerRequest request, ReplyHandler reply) {
+    if (cuts.refuses(from, LinkKind.PEERS)) {
+      reply.unavailable();
+      return;
+    }
+    ReplyHandler answer =
+        (status, body) -> deliver(cuts.betweenPeers(to, from), () -> reply.accept(status, body));
+    deliver(cuts.betweenPeers(from, to), () -> to.receive(request, answer));
+  }
+
+  /** Carries direct commands to a worker; there may be no answer. */
+  void sendCommands(SimulatedWorker worker, JsonNode body, ReplyHandler reply) {
+    ReplyHandler answer =
+        (status, report) ->
+            deliver(
+                cuts.forWorker(worker, WorkerDirection.FROM_WORKER),
+                () -> reply.accept(status, report));
+    deliver(
+        cuts.forWorker(worker, WorkerDirection.TO_WORKER), () -> worker.takeCommands(body, answer));
+    duplicates.onCommandsSent(worker, body);
+  }
+
+  /** Delivers a message now, or hands it to the cut in its way. */
+  private static void deliver(Optional<Cut> cut, Runnable delivery) {
+    if (cut.isEmpty()) {
+      delivery.run();
+    } else {
+      cut.get().intercept(delivery);
+    }
+  }
+
   /** Handles a request to a regional service. */
   @FunctionalInterface
   private interface Service {
--- a/src/test/java/shorecrank/sim/NodeConfigWriter.java
+++ b/src/test/java/shorecrank/sim/NodeConfigWriter.java
@@ -40,7 +40,7 @@
             .addObject()
             .put("label", other.label())
             .put("location", other.zone())
-            .put("addr", world.addresses(other).peers());
+            .put("addr", world.peerAddress(node, other));
       }
     }
     file.putObject("endpoints").put("cloud", addresses.cloud()).put("state", addresses.state());
--- a/src/test/java/shorecrank/sim/ProcessWorld.java
+++ b/src/test/java/shorecrank/sim/ProcessWorld.java
@@ -31,8 +31,13 @@
   private final Queue<Runnable> inbox = new ConcurrentLinkedQueue<>();
 
   private final LoopbackServers servers = new LoopbackServers(threads, inbox::add);
-  private final FreePorts ports = new FreePorts(sim.random());
+  private final ReservedPorts ports = new ReservedPorts();
   private final Map<String, String> workerAddresses = new HashMap<>();
+
+  /** Addresses of the relays between controllers, by the labels of both. */
+  private final Map<String, String> relays = new HashMap<>();
+
+  private boolean relaysPeers;
   private final long startedAtNanos = System.nanoTime();
 
   /**
@@ -111,19 +116,42 @@
   String workerAddress(SimulatedWorker worker) {
     return workerAddresses.computeIfAbsent(
         worker.name(),
-        name -> servers.serve((method, path, body, reply) -> worker.takeCommands(body, reply)));
+        name ->
+            servers.serve(
+                (method, path, body, reply) -> network.sendCommands(worker, body, reply)));
   }
 
   private void handleStateRequest(
       int from, String method, String path, JsonNode body, ReplyHandler reply) {
     ControllerNode node = controllers().get(from);
-    boolean refused = network.cuts().forRegionalService(node, LinkKind.STATE).isPresent();
     boolean mayNotLead = path.equals("/grants") && nextLeader != null && nextLeader != node;
-    if (refused || mayNotLead) {
+    if (mayNotLead) {
       reply.unavailable();
     } else {
-      store.handle(method, path, body, reply);
+      network.sendStateRequest(node, method, path, body, reply);
+    }
+  }
+
+  /**
+   * Lets controllers that start from now on reach each other through relays, so that cuts between
+   * them take effect.
+   */
+  void relayPeers() {
+    relaysPeers = true;
+  }
+
+  @Override
+  String peerAddress(ControllerNode from, ControllerNode to) {
+    if (!relaysPeers) {
+      return super.peerAddress(from, to);
     }
+    return relays.computeIfAbsent(
+        from.label() + " " + to.label(),
+        link ->
+            servers.serve(
+                (method, path, body, reply) ->
+                    network.sendPeerRequest(
+                        from, to, new ControllerRequest(true, method, path, body), reply)));
   }
 
   // ---- real time -------------------------------------------------------------------------------
@@ -171,6 +199,7 @@
   public void close() {
     destroyProcesses();
     servers.close();
+    ports.close();
     threads.shutdownNow();
   }
 }
--- /dev/null
+++ b/src/test/java/shorecrank/sim/SoakFleet.java
@@ -0,0 +1,138 @@
+package shorecrank.sim;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import shorecrank.config.SettingsFile;
+
+/**
+ * Three real controller processes on loopback under load and random faults, watched from outside by
+ * the rules of the simulation. All times are in real time, from the start of the fleet.
+ */
+public final class SoakFleet implements AutoCloseable {
+  private static final String SCRIPT_NAME = "soak";
+  private static final int CONTROLLERS = 3;
+  private static final int CANCEL_EVERY_NTH = 5;
+  private static final long CANCEL_AFTER_MS = 2500;
+  private static final long SUBMIT_EVERY_MS = 600;
+  private static final long POLL_MS = 10;
+  private static final long MS_PER_S = 1000;
+
+  /** The longest that a job may wait while a machine has room, according to the users. */
+  private static final long MAX_WAIT_MS = 90_000;
+
+  private final ProcessWorld world;
+  private final List<String> schedule;
+  private long submitUntilMs;
+  private int submitted;
+
+  /**
+   * Draws the faults from a seed and starts the controllers.
+   *
+   * @param directory receives the controllers' files and logs
+   * @param machines number of machines that are up from the start
+   * @param faults number of faults
+   * @param fromS earliest time of a fault, in seconds
+   * @param toS latest time of a fault, in seconds
+   */
+  public SoakFleet(long seed, Path directory, int machines, int faults, double fromS, double toS)
+      throws Exception {
+    Files.createDirectories(directory);
+    world = new ProcessWorld(seed, ProgramVersions.current(), directory, SettingsFile.defaults());
+    world.relayPeers();
+    world.setUpSmallSite();
+    world.cloud.setCapacity(machines + 2);
+    // Drawn first, so that the faults depend on nothing but the seed.
+    ScenarioLine line = new ScenarioLine(SCRIPT_NAME, 1, SCRIPT_NAME);
+    RandomFaults random = new RandomFaults(world, line);
+    random.draw(faults, fromS, toS);
+    schedule = random.script().scheduled();
+    submitUntilMs = (long) (toS * MS_PER_S);
+    world.users.behavior().queryAllControllersFor((long) (toS * MS_PER_S));
+    world.startControllers(CONTROLLERS);
+    for (int i = 0; i < machines; i++) {
+      world.cloud.addMachine("p8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
+    submitNext();
+  }
+
+  /** Returns the faults with their times, in the order in which they were drawn. */
+  public List<String> schedule() {
+    return schedule;
+  }
+
+  /** Submits a job of one of two teams at each interval, and has some of them cancelled. */
+  private void submitNext() {
+    if (world.sim.now() >= submitUntilMs) {
+      return;
+    }
+    int number = ++submitted;
+    String id = "wk-" + number;
+    JobPlan plan =
+        JobPlan.builder()
+            .tasks(1 + number % 6)
+            .cpus(2)
+            .runS(1 + number % 4)
+            .fetchS(0.5)
+            .team(number % 3 == 0 ? "u" : "t")
+            .build();
+    world.users.submit(id, plan);
+    if (number % CANCEL_EVERY_NTH == 0) {
+      world.sim.after(CANCEL_AFTER_MS, () -> world.users.cancel(id));
+    }
+    world.sim.after(SUBMIT_EVERY_MS, this::submitNext);
+  }
+
+  /**
+   * Runs until the time of the last fault, and then until all faults are over and all jobs have
+   * ended, or a rule is violated.
+   */
+  public void run() {
+    world.runUntil(() -> world.sim.now() >= submitUntilMs || hasFailed(), Long.MAX_VALUE / 2);
+    world.runUntil(
+        () -> world.faults.areOverAt(world.sim.now()) || hasFailed(), Long.MAX_VALUE / 2);
+    long boundMs = new Backlog(world).durationMs() + MAX_WAIT_MS;
+    boolean isOver = world.runUntil(() -> world.areAllJobsOver() || hasFailed(), boundMs);
+    if (!isOver) {
+      world.checker.report("unfinished: not all jobs have ended " + boundMs + " ms after faults");
+    }
+    world.checker.end();
+  }
+
+  private boolean hasFailed() {
+    return !world.checker.violations().isEmpty() || !world.unexpectedlyEnded().isEmpty();
+  }
+
+  /** Returns the violations of rules, and the controllers that have ended by themselves. */
+  public List<String> violations() {
+    List<String> all = new ArrayList<>(world.checker.violations());
+    world.unexpectedlyEnded().forEach(label -> all.add("controller ended by itself: " + label));
+    return all;
+  }
+
+  /** Describes how much was run. */
+  public String summary() {
+    return "jobs %d, ended %d, starts %d, %.0f s"
+        .formatted(
+            submitted,
+            world.checker.answers().endedJobCount(),
+            world.checker.tasks().starts(),
+            (double) world.sim.now() / MS_PER_S);
+  }
+
+  /** Has all queries about a job lost once it is accepted, to show that the checks can fail. */
+  public void loseRequestsAbout(String job) {
+    if (world.checker.answers().isAccepted(job)) {
+      world.users.client().dropRequestsAbout(job);
+    } else {
+      world.sim.after(POLL_MS, () -> loseRequestsAbout(job));
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    world.close();
+  }
+}
--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -142,6 +142,11 @@
     return new NodeConfigWriter.Addresses(host + ":80", host + ":81", "10.2.0.1:1", "10.2.0.2:1");
   }
 
+  /** Returns the address at which one controller reaches another. */
+  String peerAddress(ControllerNode from, ControllerNode to) {
+    return addresses(to).peers();
+  }
+
   // ---- machines --------------------------------------------------------------------------------
 
   /** Adds the worker of a machine that has booted. */
