Remember from an owner's answer that a job is done

Cause: a query about a finished job used to read its final record, and the cached record saved a later lookup of the job as a dependency. Since the owner answers instead, nothing was cached.

Change: an owner's answer "done", which it gives only for a committed final record, is cached like the record; the next query or lookup of the job needs no request.

--- a/src/main/java/shorecrank/coordination/request/JobLookup.java
+++ b/src/main/java/shorecrank/coordination/request/JobLookup.java
@@ -57,6 +57,14 @@
     shards.put(id, shard);
   }
 
+  /**
+   * Caches that a job is done, which its owner has answered, so that later lookups need no state
+   * request.
+   */
+  void cacheDone(JobId id, int tasks) {
+    finalRecords.put(id, new Final(JobState.DONE, tasks));
+  }
+
   /** Returns the shard of a job, or empty if it is not cached. */
   Optional<ShardId> findShard(JobId id) {
     return Optional.ofNullable(shards.getIfPresent(id));
--- a/src/main/java/shorecrank/coordination/request/StatusHandler.java
+++ b/src/main/java/shorecrank/coordination/request/StatusHandler.java
@@ -73,6 +73,8 @@
     JobStatus status = answer.get().status();
     if (status.state() == JobState.CANCELLED) {
       cancellations.recordConfirmed(id);
+    } else if (status.state() == JobState.DONE) {
+      jobs.cacheDone(id, status.done());
     }
     replies.sendStatus(request, id, status);
   }
--- a/src/test/java/shorecrank/coordination/request/StatusHandlerTest.java
+++ b/src/test/java/shorecrank/coordination/request/StatusHandlerTest.java
@@ -100,6 +100,18 @@
     assertEquals(List.of(Optional.empty(), Optional.of(SHARD)), owners.askedShards);
   }
 
+  @Test
+  void aJobThatAnOwnerReportedAsDoneIsAnsweredFromMemory() {
+    ask("wk-1");
+    answerAsOwner(Optional.of(new JobStatus(JobState.DONE, 3, 0)));
+    driver.takeReplies();
+    exhaustBudget();
+    ask("wk-1");
+    assertEquals(200, replyStatus());
+    assertEquals(1, owners.askedShards.size());
+    assertEquals(List.of(), driver.openPaths());
+  }
+
   @Test
   void aJobThatNoOwnerKnowsIsReadFromTheRecords() {
     ask("wk-1");
