Don't name workers as overdue while their heartbeats wait in the owner's own queue

What callers saw: with the load of 4,000 machines on a third of a core the shard was taken from one owner after the other; each new owner began with the same load and colder code.

Cause: an owner that is behind counts workers whose heartbeats it has not yet processed as silent. They time out, turn to other controllers and are counted there as misrouted, so to the leader the owner looks unreachable for its workers (workers_unreached), and it is replaced every 20 s. The class: a conclusion from the absence of messages by a process that is itself late.

--- a/src/main/java/shorecrank/transport/ControllerEventLoop.java
+++ b/src/main/java/shorecrank/transport/ControllerEventLoop.java
@@ -214,6 +214,9 @@
   private void runRound() {
     long startedNanos = nanoClock.nanoTime();
     metrics.recordRoundDelay(Math.max(0, startedNanos - nextRoundNanos));
+    if (requests.isOverloaded(nowMs())) {
+      step(new Input.HeartbeatsDelayed());
+    }
     long budget = TimeUnit.MILLISECONDS.toNanos(settings.roundBudgetMs());
     step(new Input.Tick(() -> nanoClock.nanoTime() - startedNanos > budget));
     nextRoundNanos = nanoClock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.roundMs());
--- a/src/test/java/shorecrank/sim/SimulatedProcessor.java
+++ b/src/test/java/shorecrank/sim/SimulatedProcessor.java
@@ -47,6 +47,11 @@
     }
   }
 
+  /** Reports whether heartbeats wait for long. */
+  boolean isOverloaded() {
+    return requests.isOverloaded(sim.now());
+  }
+
   private void executeNext() {
     Work next = urgent.isEmpty() ? requests.poll(sim.now()) : urgent.poll();
     busy = next != null;
