--- a/src/test/java/shorecrank/sim/ScaleTest.java
+++ b/src/test/java/shorecrank/sim/ScaleTest.java
@@ -37,6 +37,30 @@
     runFleet(machines);
   }
 
+  @Tag("scale")
+  @Test
+  void everyJobOfFourThousandMachinesIsAnsweredAfterAllControllersRestart() throws Exception {
+    String text =
+        """
+        controllers 7
+        zones a,b,c
+        workers heartbeat=5 lease=31 cancel=61
+        state rps=250 writes=100 ops=48 value=16 enforced
+        load-balancer
+        type c16 cpus=16 memory=32 boot=20 zones=a,b,c
+         machines c16 a 1400
+         machines c16 b 1300
+         machines c16 c 1300
+        capacity 4000
+        at 5 submit-every 1000 0.04 165 c tasks=1 cpus=16 memory=8 run=400
+        at 180 crash all 4
+        until 290
+        """;
+    Scenario scenario = new Scenario("scale-queries", text);
+    assertEquals(List.of(), scenario.play(1, false));
+    assertEquals(4000, scenario.world().jobs.ids().size());
+  }
+
   private static void runFleet(int machines) throws Exception {
     int jobs = 2 * machines / TASKS_PER_JOB;
     String text =
