Let simulated and real controllers share the way of their messages and the load in tests

Network had each way twice: for calls of simulated controllers and, since the soak, for relays of real processes; ProcessFleet and SoakFleet each submitted the same jobs. One method serves both (sendPeerRequest, sendStateRequest, sendCommands), and SteadyLoad both fleets.

--- a/src/test/java/shorecrank/sim/Network.java
+++ b/src/test/java/shorecrank/sim/Network.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Optional;
+import java.util.function.Function;
 import shorecrank.coordination.step.Input;
 import shorecrank.coordination.step.Output;
 
@@ -63,13 +64,17 @@
     if (call.target() instanceof Output.Worker worker) {
       callWorker(from, worker.address(), call.body(), firstAnswer);
     } else if (call.target() instanceof Output.Peer peer) {
-      callPeer(from, world.node(peer.label().value()), call, firstAnswer);
+      ControllerNode to = world.node(peer.label().value());
+      ControllerRequest request =
+          new ControllerRequest(true, call.method(), call.path(), call.body());
+      sendPeerRequest(from, to, request, firstAnswer);
     } else if (call.target() == Output.Service.STATE) {
-      callService(
+      sendStateRequest(
           from,
-          LinkKind.STATE,
-          firstAnswer,
-          reply -> stateService.send(call.method(), call.path(), call.body(), reply));
+          call.method(),
+          call.path(),
+          call.body(),
+          (status, body) -> firstAnswer.accept(status, world.rollouts.asReadBy(from, body)));
     } else {
       callService(
           from,
@@ -108,80 +113,46 @@
       return;
     }
     SimulatedWorker worker = target.get();
+    sendCommands(worker, direction -> cuts.forWorker(worker, from, direction), body, onAnswer);
+  }
+
+  /**
+   * Carries direct commands to a worker from a controller that is not known, so that only cuts of
+   * the worker itself take effect.
+   */
+  void sendCommands(SimulatedWorker worker, JsonNode body, ReplyHandler onAnswer) {
+    sendCommands(worker, direction -> cuts.forWorker(worker, direction), body, onAnswer);
+  }
+
+  private void sendCommands(
+      SimulatedWorker worker,
+      Function<WorkerDirection, Optional<Cut>> cut,
+      JsonNode body,
+      ReplyHandler onAnswer) {
     ReplyHandler reply =
         (status, report) ->
-            send(
-                cuts.forWorker(worker, from, WorkerDirection.FROM_WORKER),
-                () -> onAnswer.accept(status, report));
-    send(
-        cuts.forWorker(worker, from, WorkerDirection.TO_WORKER),
-        () -> worker.takeCommands(body, reply));
+            send(cut.apply(WorkerDirection.FROM_WORKER), () -> onAnswer.accept(status, report));
+    send(cut.apply(WorkerDirection.TO_WORKER), () -> worker.takeCommands(body, reply));
     duplicates.onCommandsSent(worker, body);
   }
 
-  private void callPeer(
-      SimulatedController from, ControllerNode to, Output.Call call, ReplyHandler onAnswer) {
+  /** Carries a request from one controller to another; there may be no answer. */
+  void sendPeerRequest(
+      ControllerNode from, ControllerNode to, ControllerRequest request, ReplyHandler onAnswer) {
     if (cuts.refuses(from, LinkKind.PEERS)) {
       sim.after(delayMs(), onAnswer::unavailable);
       return;
     }
-    ControllerRequest request =
-        new ControllerRequest(true, call.method(), call.path(), call.body());
     ReplyHandler reply =
         (status, body) -> send(cuts.betweenPeers(to, from), () -> onAnswer.accept(status, body));
     send(cuts.betweenPeers(from, to), () -> to.receive(request, reply));
   }
 
-  /**
-   * Carries a controller's request to the state service; there may be no answer.
-   *
-   * @param reply receives the answer of the service
-   */
+  /** Carries a controller's request to the state service; there may be no answer. */
   void sendStateRequest(
-      ControllerNode from, String method, String path, JsonNode body, ReplyHandler reply) {
-    Optional<Cut> cut = cuts.forRegionalService(from, LinkKind.STATE);
-    if (cut.isPresent() && cut.get().refuses()) {
-      reply.unavailable();
-      return;
-    }
-    ReplyHandler answer =
-        (status, found) ->
-            deliver(
-                cuts.forRegionalService(from, LinkKind.STATE), () -> reply.accept(status, found));
-    deliver(cut, () -> stateService.send(method, path, body, answer));
-  }
-
-  /** Carries a request from one controller to another; there may be no answer. */
-  void sendPeerRequest(
-      ControllerNode from, ControllerNode to, ControllerRequest request, ReplyHandler reply) {
-    if (cuts.refuses(from, LinkKind.PEERS)) {
-      reply.unavailable();
-      return;
-    }
-    ReplyHandler answer =
-        (status, body) -> deliver(cuts.betweenPeers(to, from), () -> reply.accept(status, body));
-    deliver(cuts.betweenPeers(from, to), () -> to.receive(request, answer));
-  }
-
-  /** Carries direct commands to a worker; there may be no answer. */
-  void sendCommands(SimulatedWorker worker, JsonNode body, ReplyHandler reply) {
-    ReplyHandler answer =
-        (status, report) ->
-            deliver(
-                cuts.forWorker(worker, WorkerDirection.FROM_WORKER),
-                () -> reply.accept(status, report));
-    deliver(
-        cuts.forWorker(worker, WorkerDirection.TO_WORKER), () -> worker.takeCommands(body, answer));
-    duplicates.onCommandsSent(worker, body);
-  }
-
-  /** Delivers a message now, or hands it to the cut in its way. */
-  private static void deliver(Optional<Cut> cut, Runnable delivery) {
-    if (cut.isEmpty()) {
-      delivery.run();
-    } else {
-      cut.get().intercept(delivery);
-    }
+      ControllerNode from, String method, String path, JsonNode body, ReplyHandler onAnswer) {
+    callService(
+        from, LinkKind.STATE, onAnswer, reply -> stateService.send(method, path, body, reply));
   }
 
   /** Handles a request to a regional service. */
@@ -191,7 +162,7 @@
   }
 
   private void callService(
-      SimulatedController from, LinkKind link, ReplyHandler onAnswer, Service service) {
+      ControllerNode from, LinkKind link, ReplyHandler onAnswer, Service service) {
     Optional<Cut> cut = cuts.forRegionalService(from, link);
     if (cut.isPresent() && cut.get().refuses()) {
       sim.after(delayMs(), onAnswer::unavailable);
@@ -199,9 +170,7 @@
     }
     ReplyHandler reply =
         (status, body) ->
-            send(
-                cuts.forRegionalService(from, link),
-                () -> onAnswer.accept(status, world.rollouts.asReadBy(from, body)));
+            send(cuts.forRegionalService(from, link), () -> onAnswer.accept(status, body));
     send(cut, () -> service.handle(reply));
   }
 
--- a/src/test/java/shorecrank/sim/ProcessFleet.java
+++ b/src/test/java/shorecrank/sim/ProcessFleet.java
@@ -24,11 +24,10 @@
  */
 final class ProcessFleet implements AutoCloseable {
   private static final long WAIT_MS = 60_000;
-  private static final long CANCEL_AFTER_MS = 2500;
 
   final ProcessWorld world;
   private boolean submitting = true;
-  private int submitted;
+  private final SteadyLoad load;
 
   /** Exit status and output of a run of the command-line client. */
   record ClientResult(int status, String out, String err) {}
@@ -46,6 +45,7 @@
         Files.createDirectories(ProgramVersions.PROJECT_DIRECTORY.resolve("target/process-fleet"));
     world = new ProcessWorld(seed, first, Files.createTempDirectory(logs, "run"), settings);
     world.setUpSmallSite();
+    load = new SteadyLoad(world, () -> submitting);
     world.cloud.setCapacity(machines + 2);
     world.users.behavior().queryAllControllersFor(600_000);
     world.rollouts.enableWithDefaults();
@@ -68,29 +68,12 @@
 
   /** Returns how many jobs were submitted. */
   int submitted() {
-    return submitted;
+    return load.submitted();
   }
 
   /** Submits a job at each interval for one of two teams, and cancels every fifth. */
   void submitEvery(long ms) {
-    if (!submitting) {
-      return;
-    }
-    int number = ++submitted;
-    String id = "wk-" + number;
-    JobPlan plan =
-        JobPlan.builder()
-            .tasks(1 + number % 6)
-            .cpus(2)
-            .runS(1 + number % 4)
-            .fetchS(0.5)
-            .team(number % 3 == 0 ? "u" : "t")
-            .build();
-    world.users.submit(id, plan);
-    if (number % 5 == 0) {
-      world.sim.after(CANCEL_AFTER_MS, () -> world.users.cancel(id));
-    }
-    world.sim.after(ms, () -> submitEvery(ms));
+    load.submitEvery(ms);
   }
 
   /** Crashes a controller and restarts it in another version after the given time. */
--- a/src/test/java/shorecrank/sim/SoakFleet.java
+++ b/src/test/java/shorecrank/sim/SoakFleet.java
@@ -14,8 +14,6 @@
 public final class SoakFleet implements AutoCloseable {
   private static final String SCRIPT_NAME = "soak";
   private static final int CONTROLLERS = 3;
-  private static final int CANCEL_EVERY_NTH = 5;
-  private static final long CANCEL_AFTER_MS = 2500;
   private static final long SUBMIT_EVERY_MS = 600;
   private static final long POLL_MS = 10;
   private static final long MS_PER_S = 1000;
@@ -25,8 +23,8 @@
 
   private final ProcessWorld world;
   private final List<String> schedule;
-  private long submitUntilMs;
-  private int submitted;
+  private final SteadyLoad load;
+  private final long submitUntilMs;
 
   /**
    * Draws the faults from a seed and starts the controllers.
@@ -55,7 +53,8 @@
     for (int i = 0; i < machines; i++) {
       world.cloud.addMachine("p8", i % 2 == 0 ? "a" : "b", false, 0);
     }
-    submitNext();
+    load = new SteadyLoad(world, () -> world.sim.now() < submitUntilMs);
+    load.submitEvery(SUBMIT_EVERY_MS);
   }
 
   /** Returns the faults with their times, in the order in which they were drawn. */
@@ -63,28 +62,6 @@
     return schedule;
   }
 
-  /** Submits a job of one of two teams at each interval, and has some of them cancelled. */
-  private void submitNext() {
-    if (world.sim.now() >= submitUntilMs) {
-      return;
-    }
-    int number = ++submitted;
-    String id = "wk-" + number;
-    JobPlan plan =
-        JobPlan.builder()
-            .tasks(1 + number % 6)
-            .cpus(2)
-            .runS(1 + number % 4)
-            .fetchS(0.5)
-            .team(number % 3 == 0 ? "u" : "t")
-            .build();
-    world.users.submit(id, plan);
-    if (number % CANCEL_EVERY_NTH == 0) {
-      world.sim.after(CANCEL_AFTER_MS, () -> world.users.cancel(id));
-    }
-    world.sim.after(SUBMIT_EVERY_MS, this::submitNext);
-  }
-
   /**
    * Runs until the time of the last fault, and then until all faults are over and all jobs have
    * ended, or a rule is violated.
@@ -116,7 +93,7 @@
   public String summary() {
     return "jobs %d, ended %d, starts %d, %.0f s"
         .formatted(
-            submitted,
+            load.submitted(),
             world.checker.answers().endedJobCount(),
             world.checker.tasks().starts(),
             (double) world.sim.now() / MS_PER_S);
