--- a/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
+++ b/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
@@ -19,6 +19,7 @@
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.HeartbeatMessages.OwnerInfo;
 import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.ShardId;
 import shorecrank.protocol.PeerRequests.StatusQuery;
 import shorecrank.protocol.StatusQueryCodec;
@@ -103,6 +104,7 @@
       answer(queries, Map.of());
       return;
     }
+    context.count("status.not_sent", Math.max(0, queries.size() - StatusQueryCodec.MAX_JOBS));
     List<JobId> jobs = queries.keySet().stream().limit(StatusQueryCodec.MAX_JOBS).toList();
     context
         .peers()
@@ -161,6 +163,7 @@
   private final class PeerAnswer {
     private final long reply;
     private final Map<JobId, JobStatus> statuses;
+    private final MonotonicTime receivedAt = context.now();
     private int pendingJobs;
 
     PeerAnswer(long reply, int pendingJobs, Map<JobId, JobStatus> statuses) {
@@ -173,8 +176,17 @@
       status.ifPresent(found -> statuses.put(job, found));
       pendingJobs--;
       if (pendingJobs == 0) {
+        countLate();
         context.reply(reply, OK, StatusQueryCodec.writeAnswer(statuses));
       }
     }
+
+    /** Counts the answer if the asking controller has stopped waiting for it. */
+    private void countLate() {
+      if (context.now().since(receivedAt) > QUERY_TIMEOUT_MS) {
+        context.count("status.answer.late");
+        context.count("status.answer.late.jobs", statuses.size());
+      }
+    }
   }
 }
--- a/src/main/java/shorecrank/coordination/WorkerHeartbeatRouter.java
+++ b/src/main/java/shorecrank/coordination/WorkerHeartbeatRouter.java
@@ -106,6 +106,7 @@
         deliver(received, shardOwner);
       } else {
         foreignWorkers.addMisrouted(heartbeat.machine());
+        context.count("report.redirected");
         redirect(received, owners.findOther(assignment.shard()).orElse(null));
       }
     }
@@ -139,6 +140,7 @@
   }
 
   private void deliver(HeldHeartbeat received, ShardOwner shardOwner) {
+    context.count("report.arrived");
     boolean isIsolated = context.msSincePeerContact() > ISOLATED_AFTER_MS;
     if (shardOwner.isLeaseValid() || shardOwner.isInGrace(isIsolated)) {
       if (shardOwner.knowsRecentCancellations()) {
--- a/src/main/java/shorecrank/coordination/leader/LeaseRenewal.java
+++ b/src/main/java/shorecrank/coordination/leader/LeaseRenewal.java
@@ -110,8 +110,12 @@
       return true;
     }
     context.info(
-        "shard.revoked shard=%s owner=%s reason=workers_unreached heard=%d expected=%d",
-        id, shard.owner(), workers.expected() - workers.overdue(), workers.expected());
+        "shard.revoked shard=%s owner=%s reason=workers_unreached heard=%d expected=%d misrouted=%d",
+        id,
+        shard.owner(),
+        workers.expected() - workers.overdue(),
+        workers.expected(),
+        failureDetector.workersReachingOthers(id, shard.owner()));
     context.count("part.unreached");
     shard.revokeUnreachable(workers.unreachableZones(), context.now());
     return false;
--- a/src/main/java/shorecrank/coordination/leader/OwnerFailureDetector.java
+++ b/src/main/java/shorecrank/coordination/leader/OwnerFailureDetector.java
@@ -1,6 +1,7 @@
 package shorecrank.coordination.leader;
 
 import java.util.Map;
+import java.util.stream.Stream;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.HeartbeatMessages.WorkerReachability;
 import shorecrank.protocol.Ids.ControllerName;
@@ -71,18 +72,22 @@
         || shard.msSinceUnreachable(context.now()) < REPLACEMENT_PAUSE_MS) {
       return false;
     }
-    int reachingOthers = 0;
-    boolean hasReachableCandidate = false;
-    for (Map.Entry<ControllerName, ControllerState> entry : controllers.entries()) {
-      ControllerState controller = entry.getValue();
-      if (entry.getKey().equals(shard.owner()) || !controllers.canServe(controller)) {
-        continue;
-      }
-      reachingOthers += controller.misroutedWorkers(id);
-      hasReachableCandidate |= isLikelyReachable(entry.getKey(), shard.owner(), workers);
-    }
-    boolean isHalfReachingOthers = reachingOthers * 2 >= workers.overdue();
-    return hasReachableCandidate && isHalfReachingOthers;
+    boolean isHalfReachingOthers =
+        workersReachingOthers(id, shard.owner()) * 2 >= workers.overdue();
+    return isHalfReachingOthers
+        && otherServers(shard.owner())
+            .anyMatch(entry -> isLikelyReachable(entry.getKey(), shard.owner(), workers));
+  }
+
+  /** Returns how many workers of a shard other controllers than its owner have heard lately. */
+  int workersReachingOthers(ShardId id, ControllerName owner) {
+    return otherServers(owner).mapToInt(entry -> entry.getValue().misroutedWorkers(id)).sum();
+  }
+
+  /** Returns the controllers other than the owner that can serve shards. */
+  private Stream<Map.Entry<ControllerName, ControllerState>> otherServers(ControllerName owner) {
+    return controllers.entries().stream()
+        .filter(entry -> !entry.getKey().equals(owner) && controllers.canServe(entry.getValue()));
   }
 
   /**
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatHandler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatHandler.java
@@ -110,6 +110,7 @@
       machine.setIdleSince(now);
     }
     session.recordConfirmed(heartbeat, now);
+    context.count("report.confirmed");
     return isConsecutive;
   }
 
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -10,6 +10,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -48,6 +49,13 @@
   /** A query may use at most the number of guards of one transaction divided by this. */
   private static final int QUERY_GUARD_DIVISOR = 4;
 
+  /** Reasons why an owner can't tell a job's status, as metrics name them. */
+  private static final String REASON_NOT_READY = "not_ready";
+
+  private static final String REASON_UNKNOWN_JOB = "unknown_job";
+  private static final String REASON_MANY_DEPENDENCIES = "many_dependencies";
+  private static final String REASON_CHANGED = "changed";
+
   /** Maximum number of ended jobs whose final status is kept in memory. */
   private static final int MAX_ENDED_JOBS = 2000;
 
@@ -139,8 +147,12 @@
    */
   void query(JobId id, boolean isOwner, StatusCallback callback) {
     Optional<JobStatus> endStatus = findEnded(id);
-    if (endStatus.isPresent() || !isOwner || jobs.find(id) == null) {
+    if (endStatus.isPresent()) {
       callback.onStatus(endStatus);
+    } else if (!isOwner) {
+      refuse(List.of(callback), REASON_NOT_READY);
+    } else if (jobs.find(id) == null) {
+      refuse(List.of(callback), REASON_UNKNOWN_JOB);
     } else {
       pending
           .computeIfAbsent(id, absent -> new PendingQuery(context.now(), new ArrayList<>(1)))
@@ -155,10 +167,25 @@
 
   /** Answers all pending queries with an empty status, since the ownership has ended. */
   void close() {
-    pending.values().forEach(query -> complete(query.callbacks(), Optional.empty()));
+    pending.values().forEach(query -> refuse(query.callbacks(), REASON_NOT_READY));
     pending.clear();
   }
 
+  /** Answers queries with an empty status and counts them by the reason. */
+  private void refuse(List<StatusCallback> callbacks, String reason) {
+    context.count("status.refused." + reason, callbacks.size());
+    complete(callbacks, Optional.empty());
+  }
+
+  private void completeEnded(JobId id, List<StatusCallback> callbacks) {
+    Optional<JobStatus> endStatus = findEnded(id);
+    if (endStatus.isEmpty()) {
+      refuse(callbacks, REASON_CHANGED);
+    } else {
+      complete(callbacks, endStatus);
+    }
+  }
+
   private static void complete(List<StatusCallback> callbacks, Optional<JobStatus> status) {
     callbacks.forEach(callback -> callback.onStatus(status));
   }
@@ -204,6 +231,7 @@
     }
     comparing = true;
     context.count("state.requests.by.status_comparison");
+    MonotonicTime sent = context.now();
     context
         .store()
         .commit(
@@ -211,15 +239,34 @@
             COMPARE_TIMEOUT_MS,
             result -> {
               comparing = false;
+              recordComparison(comparison, result, sent);
               handleResult(comparison, result, comparisonsLeft);
             });
   }
 
+  private void recordComparison(Comparison comparison, CommitResult result, MonotonicTime sent) {
+    String outcome = result.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+    long roundTripMs = context.now().since(sent);
+    context.count("status.compared." + outcome);
+    context.count("status.compared.jobs", comparison.queries.size());
+    context.duration("status.compared.round_trip", roundTripMs);
+    if (!result.isCommitted()) {
+      context.infoLimited(
+          "status.comparison.failed",
+          "outcome=%s jobs=%d guards=%d round_trip_ms=%d pending=%d",
+          outcome,
+          comparison.queries.size(),
+          comparison.guardedKeys.size(),
+          roundTripMs,
+          pending.size());
+    }
+  }
+
   /** Adds a query to a comparison, or answers it if it can't be compared. */
   private void addToComparison(Comparison comparison, JobId id) {
     Job job = jobs.find(id);
     if (job == null || job.record().status() == null) {
-      complete(comparison.queries.remove(id), findEnded(id));
+      completeEnded(id, comparison.queries.remove(id));
       return;
     }
     // A job is cancelled with any job that it depends on, so the records of those are guarded
@@ -228,7 +275,7 @@
     Optional<Collection<Job>> needed =
         dependencies.transitiveDependencies(job, limit / QUERY_GUARD_DIVISOR);
     if (needed.isEmpty() || comparison.guardedKeys.size() + needed.get().size() + 1 > limit) {
-      complete(comparison.queries.remove(id), Optional.empty());
+      refuse(comparison.queries.remove(id), REASON_MANY_DEPENDENCIES);
     } else {
       comparison.guard(job, needed.get());
     }
@@ -251,7 +298,7 @@
             toRetry.put(id, callbacks);
           } else {
             context.count("status.changed");
-            complete(callbacks, findEnded(id));
+            completeEnded(id, callbacks);
           }
         });
     if (!toRetry.isEmpty()) {
