Answer status queries after one read of the changes, not by comparing each record

What callers saw: no answer about accepted jobs for over 75 s without any trouble left, at thousands of unfinished jobs and a small txn_ops, or for jobs with many dependencies.

Cause: before an answer the owner compared the records of the jobs and of all their dependencies by guards, txn_ops x 4 at a time, one transaction a round: 400 questions a second at txn_ops 5. Above that the queue grew, the oldest were served first when their askers had left after 700 ms, and these then read the state service, whose budget refused them. A job with more than txn_ops unfinished dependencies was never answered by its owner; each question cost a read for each dependency. The class: the cost of knowing that memory is fresh grew with jobs and dependencies and shrank with a limit that may fall at any time; overload fed itself.

Change: a read index. After the queries of a round have arrived, the owner reads the changes of all records since its last known revision, applies them, and answers all queries that had arrived before that request, for any number of jobs and dependencies. A query waits for another read for half a second and is then refused; messages to an owner hold 400 jobs each, but as many messages are sent as it takes; an owner remembers at least 10,000 ended jobs. Guards, comparisons and their limits are gone.

DependencyGraphTest and JobRecordStateTest check what replaces the limited search and the bare revision.

--- a/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
+++ b/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
@@ -89,9 +89,8 @@
   }
 
   /**
-   * Sends the queries to other controllers that have been collected since the last tick. Jobs of
-   * one shard beyond {@link StatusQueryCodec#MAX_JOBS} are not sent; their callbacks receive no
-   * status.
+   * Sends the queries to other controllers that have been collected since the last tick, in
+   * messages of at most {@link StatusQueryCodec#MAX_JOBS} jobs.
    */
   void sendPending() {
     pending.forEach(this::send);
@@ -104,14 +103,26 @@
       answer(queries, Map.of());
       return;
     }
-    context.count("status.not_sent", Math.max(0, queries.size() - StatusQueryCodec.MAX_JOBS));
-    List<JobId> jobs = queries.keySet().stream().limit(StatusQueryCodec.MAX_JOBS).toList();
+    Map<JobId, List<StatusCallback>> message = new LinkedHashMap<>();
+    for (Map.Entry<JobId, List<StatusCallback>> query : queries.entrySet()) {
+      message.put(query.getKey(), query.getValue());
+      if (message.size() == StatusQueryCodec.MAX_JOBS) {
+        sendMessage(owner, message);
+        message = new LinkedHashMap<>();
+      }
+    }
+    if (!message.isEmpty()) {
+      sendMessage(owner, message);
+    }
+  }
+
+  private void sendMessage(OwnerInfo owner, Map<JobId, List<StatusCallback>> queries) {
     context
         .peers()
         .queryStatus(
             owner.controller(),
-            shard,
-            jobs,
+            owner.shard(),
+            queries.keySet(),
             QUERY_TIMEOUT_MS,
             statuses -> answer(queries, statuses));
   }
--- a/src/main/java/shorecrank/coordination/model/JobRecordState.java
+++ b/src/main/java/shorecrank/coordination/model/JobRecordState.java
@@ -1,9 +1,12 @@
 package shorecrank.coordination.model;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.StoreMessages.Change;
 import shorecrank.protocol.UserMessages.JobStatus;
 import shorecrank.storage.JobRecord;
 
@@ -26,9 +29,12 @@
   private Epoch epoch;
   private JobStatus status;
 
-  /** The latest revision of the record that a watch has shown. */
+  /** The latest revision of the record that a change has shown. */
   private Revision seenRevision = Revision.ABSENT;
 
+  /** The record at {@link #seenRevision} if that is later than {@link #revision}. */
+  private Optional<JsonNode> seenValue = Optional.empty();
+
   private long sequence;
   private long committedSequence;
   private boolean claimed;
@@ -66,11 +72,14 @@
   }
 
   /**
-   * Returns the job's status in the record at {@link #revision()}. It may be shown to users as long
-   * as the stored record still has that revision.
+   * Returns the job's status in the latest record that this owner has written, read or been shown;
+   * empty if that record was deleted or can't be read.
    */
-  public JobStatus status() {
-    return status;
+  public Optional<JobStatus> latestStatus() {
+    if (!isOutdated()) {
+      return Optional.of(status);
+    }
+    return seenValue.map(JobRecord::read).map(JobRecord::jobStatus);
   }
 
   /** Takes over a record that another writer has stored. */
@@ -85,10 +94,17 @@
    * the state in memory, except for a cancellation mark that a user may have added.
    */
   public void adoptRevision(JobRecord record, Revision readRevision) {
-    revision = readRevision;
+    setRevision(readRevision);
     status = record.jobStatus();
   }
 
+  private void setRevision(Revision newRevision) {
+    revision = newRevision;
+    if (!isOutdated()) {
+      seenValue = Optional.empty();
+    }
+  }
+
   /** Records that the stored record is one of this object's writes, which is thus committed. */
   void adoptOwnWrite(JobRecord record) {
     claimed = record.epoch().value() > 0;
@@ -105,14 +121,15 @@
     return record.writer().equals(writer) && record.sequence() > firstSequence;
   }
 
-  /** Records a revision of the record that a watch has shown. */
-  public void observeRevision(Revision shown) {
-    if (shown.isAfter(seenRevision)) {
-      seenRevision = shown;
+  /** Records a change of the record that the state service has shown. */
+  public void observe(Change change) {
+    if (change.revision().isAfter(seenRevision)) {
+      seenRevision = change.revision();
+      seenValue = isOutdated() ? Optional.ofNullable(change.value()) : Optional.empty();
     }
   }
 
-  /** Reports whether a watch has shown a later revision than {@link #revision()}. */
+  /** Reports whether a change has shown a later revision than {@link #revision()}. */
   public boolean isOutdated() {
     return seenRevision.isAfter(revision);
   }
@@ -211,7 +228,7 @@
    */
   void recordCommitted(
       long committed, Revision atRevision, Epoch underEpoch, JobStatus writtenStatus) {
-    revision = atRevision;
+    setRevision(atRevision);
     committedSequence = committed;
     epoch = underEpoch;
     status = writtenStatus;
--- a/src/main/java/shorecrank/coordination/scheduling/DependencyGraph.java
+++ b/src/main/java/shorecrank/coordination/scheduling/DependencyGraph.java
@@ -1,12 +1,11 @@
 package shorecrank.coordination.scheduling;
 
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -152,28 +151,24 @@
   }
 
   /**
-   * Returns the transitive unmet dependencies of a job; if one of them is cancelled, so is the job.
-   *
-   * @return empty if one of them belongs to another shard, or if there are more than {@code limit}
+   * Reports whether no transitive unmet dependency of the job can be cancelled without this graph
+   * knowing: all of them are unfinished jobs of this shard, and none of them is cancelled.
    */
-  public Optional<Collection<Job>> transitiveDependencies(Job job, int limit) {
-    Set<Job> all = new LinkedHashSet<>();
+  public boolean areDependenciesUncancelled(Job job) {
+    Set<JobId> visited = new HashSet<>();
     ArrayDeque<Job> pending = new ArrayDeque<>(List.of(job));
     while (!pending.isEmpty()) {
       for (JobId id : pending.poll().scheduling().unmetDependencies()) {
         Job dependency = jobs.get(id);
-        if (dependency == null) {
-          return Optional.empty();
+        if (dependency == null || dependency.isCancelled()) {
+          return false;
         }
-        if (all.add(dependency)) {
+        if (visited.add(id)) {
           pending.add(dependency);
         }
-        if (all.size() > limit) {
-          return Optional.empty();
-        }
       }
     }
-    return Optional.of(all);
+    return true;
   }
 
   /**
--- a/src/main/java/shorecrank/coordination/shard/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardOwner.java
@@ -117,7 +117,7 @@
     this.placement =
         new PlacementRound(context, state, quotas, queue, machines.machinesWithFreeCpus());
     this.autoscaler = new Autoscaler(context, state);
-    this.statusQueries = new StatusQueries(context, jobs, dependencies);
+    this.statusQueries = new StatusQueries(context, lease, jobs, dependencies, recovery.changes());
     this.demandReporter = new ShardDemandReporter(context, state);
     this.sharesEnabled = sharesEnabled;
     context.info(
@@ -220,6 +220,7 @@
   public void endOwnership(String reason) {
     lease.end(reason);
     replies.sendAll();
+    recovery.close();
     statusQueries.close();
   }
 
@@ -230,7 +231,7 @@
    * MonotonicTime#NEVER} until all records have been read.
    */
   public MonotonicTime cancellationsShownUpTo() {
-    return recovery.shownUpTo();
+    return recovery.changes().shownUpTo();
   }
 
   /**
@@ -239,7 +240,7 @@
    * ends the tasks whose cancellation this owner may have missed.
    */
   public boolean knowsRecentCancellations() {
-    MonotonicTime knownUpTo = cancellations.knownUpTo(recovery.shownUpTo());
+    MonotonicTime knownUpTo = cancellations.knownUpTo(recovery.changes().shownUpTo());
     return context.now().since(knownUpTo) <= context.maxCancellationStalenessMs();
   }
 
@@ -331,7 +332,7 @@
    * @param callback receives the status; empty if this owner can't tell it
    */
   public void queryStatus(JobId id, StatusQueries.StatusCallback callback) {
-    statusQueries.query(id, recovery.isReady() && lease.isValid(), callback);
+    statusQueries.query(id, callback);
   }
 
   // ---- leader ----------------------------------------------------------------------------------
--- a/src/main/java/shorecrank/coordination/shard/ShardRecovery.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardRecovery.java
@@ -10,12 +10,11 @@
 import shorecrank.protocol.StoreMessages.Entry;
 import shorecrank.storage.JobRecord;
 import shorecrank.storage.ListResult;
-import shorecrank.storage.WatchResult;
 
 /**
- * Reads a shard's records from the state service: all of them when the ownership begins, then the
- * changes since the revision of the listing's first page. If changes were missed, all records are
- * read again.
+ * Reads a shard's records from the state service: all of them when the ownership begins, then,
+ * through its {@link RecordChangeFeed}, the changes since the revision of the listing's first page.
+ * If changes were missed, all records are read again.
  */
 final class ShardRecovery {
   private static final int PAGE_ENTRIES = 200;
@@ -28,20 +27,6 @@
   private static final int LIST_RETRY_MS = 200;
 
   private static final int LIST_RETRY_SPREAD_MS = 300;
-  private static final int WATCH_RETRY_MS = 200;
-
-  /**
-   * Pause between watches. Each watch costs one request, whatever the number of changes that it
-   * reports, so a few watches per second suffice.
-   */
-  private static final int WATCH_PAUSE_MS = 250;
-
-  /**
-   * Longest time that the state service holds a watch open. It bounds how far {@link #shownUpTo},
-   * which advances only when a listing or a watch is answered, falls behind.
-   */
-  private static final int WATCH_HOLD_MS = 2000;
-
   private final StepContext context;
   private final ShardLease lease;
   private final ShardJobs jobs;
@@ -63,16 +48,11 @@
   private int pages;
 
   private MonotonicTime listRetryAt = new MonotonicTime(0);
-  private boolean watchInProgress;
-  private MonotonicTime watchRetryAt = new MonotonicTime(0);
 
-  /** Revision of the state service up to which all changes are known; -1 until the first page. */
-  private long knownRevision;
+  /** Revision of the listing's first page; -1 until that page is read. */
+  private long listedRevision;
 
-  /**
-   * Time up to which the state service has shown all changes of records, including cancellations.
-   */
-  private MonotonicTime shownUpTo = MonotonicTime.NEVER;
+  private final RecordChangeFeed changes;
 
   ShardRecovery(
       StepContext context,
@@ -89,6 +69,12 @@
     this.resolver = resolver;
     this.dependencies = dependencies;
     this.cancellations = cancellations;
+    this.changes = new RecordChangeFeed(context, new ChangeListener());
+  }
+
+  /** Returns the feed of the records' changes, which is stopped while they are listed. */
+  RecordChangeFeed changes() {
+    return changes;
   }
 
   /** Reports whether all records have been read. */
@@ -104,14 +90,6 @@
     return readySince;
   }
 
-  /**
-   * Returns the time up to which the state service has shown all changes; {@link
-   * MonotonicTime#NEVER} until all records have been read.
-   */
-  MonotonicTime shownUpTo() {
-    return shownUpTo;
-  }
-
   /**
    * Requests that all records be read again if any job is relinquished, since it may belong to this
    * owner again under the higher epoch.
@@ -137,7 +115,12 @@
     context.count("shard.recovery.restarts");
     context.info(
         "shard.recovery.restarted shard=%s epoch=%s reason=%s pages=%d revision=%d",
-        lease.shard(), lease.epoch(), reason, pages, knownRevision);
+        lease.shard(),
+        lease.epoch(),
+        reason,
+        pages,
+        changes.isFollowing() ? changes.revision() : listedRevision);
+    changes.stop();
     lifecycle.removeAll();
     ready = false;
     listingInProgress = false;
@@ -156,7 +139,7 @@
   /** Starts a listing of all records. */
   void list() {
     listingInProgress = true;
-    knownRevision = -1;
+    listedRevision = -1;
     pages = 0;
     listPage("", ++listingNumber, context.now());
   }
@@ -188,8 +171,8 @@
 
   private void handlePage(ListResult.Page page, long ofListingNumber, MonotonicTime began) {
     pages++;
-    if (knownRevision < 0) {
-      knownRevision = page.revision();
+    if (listedRevision < 0) {
+      listedRevision = page.revision();
     }
     String last = "";
     for (Entry entry : page.entries()) {
@@ -206,23 +189,17 @@
       return;
     }
     listingInProgress = false;
-    advanceShownUpTo(began);
+    changes.start(listedRevision, began);
     ready = true;
     readySince = context.now();
-    new TakeoverLog(context, lease, jobs).logRecovered(knownRevision, began, pages);
+    new TakeoverLog(context, lease, jobs).logRecovered(listedRevision, began, pages);
   }
 
   private boolean isOfShard(JobRecord record) {
     return lease.isOfShard(record.spec().team());
   }
 
-  private void advanceShownUpTo(MonotonicTime sent) {
-    if (shownUpTo.isBefore(sent)) {
-      shownUpTo = sent;
-    }
-  }
-
-  // ---- watch -----------------------------------------------------------------------------------
+  // ---- changes ---------------------------------------------------------------------------------
 
   /**
    * Opens a watch for further changes. Its answer holds all changes since the last one, whatever
@@ -230,43 +207,26 @@
    * has taken over meanwhile, all of them useless here, so there is no watch without a valid lease.
    */
   void watchIfDue() {
-    if (!watchInProgress && lease.isValid() && !context.now().isBefore(watchRetryAt)) {
-      watch();
+    if (lease.isValid()) {
+      changes.watchIfDue();
     }
   }
 
-  private void watch() {
-    watchInProgress = true;
-    long ofListingNumber = listingNumber;
-    MonotonicTime sent = context.now();
-    context.count("state.requests.by.watch");
-    context
-        .store()
-        .watch(
-            JobRecord.LIVE_PREFIX,
-            knownRevision,
-            WATCH_HOLD_MS,
-            result -> {
-              watchInProgress = false;
-              if (!lease.isEnded() && ofListingNumber == listingNumber) {
-                handleWatchResult(result, sent);
-              }
-            });
+  /** Stops the feed of changes, because the ownership has ended. */
+  void close() {
+    changes.stop();
   }
 
-  private void handleWatchResult(WatchResult result, MonotonicTime sent) {
-    if (result instanceof WatchResult.Compacted) {
+  /** Applies the changes to the shard's jobs. */
+  private final class ChangeListener implements RecordChangeFeed.Listener {
+    @Override
+    public void onChange(Change change) {
+      handleChange(new JobId(change.key().substring(JobRecord.LIVE_PREFIX.length())), change);
+    }
+
+    @Override
+    public void onCompacted() {
       restart("changes_compacted");
-    } else if (result instanceof WatchResult.Changes changes) {
-      for (Change change : changes.changes()) {
-        handleChange(new JobId(change.key().substring(JobRecord.LIVE_PREFIX.length())), change);
-      }
-      knownRevision = Math.max(knownRevision, changes.revision());
-      advanceShownUpTo(sent);
-      watchRetryAt = context.now().plus(WATCH_PAUSE_MS);
-    } else {
-      context.count("shard.watch.unanswered");
-      watchRetryAt = context.now().plus(WATCH_RETRY_MS + context.random().nextInt(WATCH_RETRY_MS));
     }
   }
 
@@ -290,7 +250,7 @@
       addIfNewJob(id, change);
       return;
     }
-    job.record().observeRevision(change.revision());
+    job.record().observe(change);
     if (isMarked && !job.isCancelled()) {
       // The mark is committed, since the watch shows it, so the job is cancelled at once: reading
       // the record again may fail for a long time.
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -3,61 +3,64 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.scheduling.DependencyGraph;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.MonotonicTime;
-import shorecrank.protocol.StoreMessages.Transaction;
 import shorecrank.protocol.UserMessages.JobState;
 import shorecrank.protocol.UserMessages.JobStatus;
-import shorecrank.storage.CommitResult;
-import shorecrank.storage.JobRecord;
 
 /**
- * Answers queries for the status of the shard's jobs. Before the answer, a transaction that holds
- * only guards confirms that the records concerned are unchanged, so that no answer is older than
- * one that another controller has given. One transaction serves many queries, so a burst of queries
- * costs few requests to the state service.
+ * Answers queries for the status of the shard's jobs from memory, after a read index: once the
+ * queries of a round have arrived, one request reads the changes of all records since the last
+ * known revision. After they are applied, memory is at least as new as any answer that another
+ * controller had given before the queries arrived. The cost does not depend on the number of jobs.
  */
 public final class StatusQueries {
-  private static final int COMPARE_TIMEOUT_MS = 1000;
+  private static final int READ_TIMEOUT_MS = 600;
 
   /**
-   * Maximum number of comparisons that a query takes part in. If the last one fails, the query is
-   * answered with the job's final status in memory, or with an empty status if there is none.
+   * After a read without an answer, queries that are older are refused. The asking controller waits
+   * for 700 ms.
    */
-  private static final int MAX_COMPARISONS = 2;
+  private static final int MAX_WAIT_MS = 500;
 
-  /**
-   * Number of guards that a transaction without writes may hold for each operation that a
-   * transaction with writes may hold.
-   */
-  private static final int GUARDS_PER_OPERATION = 4;
+  /** The owners of all shards together use at most this fraction of the requests for reads. */
+  private static final double READ_REQUEST_FRACTION = 0.25;
+
+  private static final double MS_PER_S = 1000;
+
+  /** Lower bound on the number of ended jobs whose final status is kept in memory. */
+  private static final int MIN_ENDED_JOBS = 10_000;
 
-  /** A query may use at most the number of guards of one transaction divided by this. */
-  private static final int QUERY_GUARD_DIVISOR = 4;
+  /** Users ask every 5 s and wait 2 s, so within this time all of them have asked several times. */
+  private static final int ENDED_JOBS_KEPT_S = 60;
 
   /** Reasons why an owner can't tell a job's status, as metrics name them. */
-  private static final String REASON_NOT_READY = "not_ready";
+  private enum Refusal {
+    /** The shard's records are not known, or this process does not own the shard any more. */
+    NOT_READY,
 
-  private static final String REASON_UNKNOWN_JOB = "unknown_job";
-  private static final String REASON_MANY_DEPENDENCIES = "many_dependencies";
-  private static final String REASON_CHANGED = "changed";
+    /** The job is none of the shard's unfinished jobs. */
+    UNKNOWN_JOB,
 
-  /** Maximum number of ended jobs whose final status is kept in memory. */
-  private static final int MAX_ENDED_JOBS = 2000;
+    /** The state service has not answered the read. */
+    NO_ANSWER,
+
+    /** The job's record was deleted, or can't be read. */
+    RECORD_GONE,
+
+    /** A job that this one depends on is none of the shard's unfinished jobs. */
+    OTHER_SHARDS;
+
+    private final String metric = "status.refused." + name().toLowerCase(Locale.ROOT);
+  }
 
   /** Receives the status of a job. */
   public interface StatusCallback {
@@ -69,70 +72,49 @@
     void onStatus(Optional<JobStatus> jobStatus);
   }
 
-  /** The queries about one job that wait for a comparison. */
-  private record PendingQuery(MonotonicTime addedAt, List<StatusCallback> callbacks) {}
-
-  /** The queries that one transaction answers. */
-  private static final class Comparison {
-    final Map<JobId, List<StatusCallback>> queries;
-    final Transaction transaction = new Transaction();
-
-    /**
-     * Status of each job, valid if all its guarded records are unchanged; jobs without an entry are
-     * answered with an empty status.
-     */
-    final Map<JobId, JobStatus> statuses = new HashMap<>();
-
-    /** Keys of the records that must be unchanged, by job. */
-    final Map<JobId, Set<String>> keysByJob = new HashMap<>();
-
-    final Set<String> guardedKeys = new HashSet<>();
-
-    Comparison(Map<JobId, List<StatusCallback>> queries) {
-      this.queries = queries;
-    }
-
-    /** Adds guards for the records of a job and of all jobs that it depends on. */
-    void guard(Job job, Collection<Job> needed) {
-      Set<String> keys = new HashSet<>();
-      for (Job each : needed) {
-        guard(each, keys);
-      }
-      guard(job, keys);
-      keysByJob.put(job.id(), keys);
-      JobStatus status = job.record().status();
-      boolean isCancelledSince = job.isCancelled() && status.state() != JobState.CANCELLED;
-      if (!isCancelledSince) {
-        statuses.put(job.id(), status);
-      }
-    }
-
-    private void guard(Job job, Set<String> keys) {
-      String key = JobRecord.liveKey(job.id());
-      keys.add(key);
-      if (guardedKeys.add(key)) {
-        transaction.guard(key, job.record().revision());
-      }
+  /** The queries about one job that wait for the same read. */
+  private record PendingQuery(MonotonicTime addedAt, List<StatusCallback> callbacks) {
+    void complete(Optional<JobStatus> status) {
+      callbacks.forEach(callback -> callback.onStatus(status));
     }
   }
 
   private final StepContext context;
+  private final ShardLease lease;
   private final ShardJobs jobs;
   private final DependencyGraph dependencies;
+  private final RecordChangeFeed changes;
+  private final long readIntervalMs;
 
-  /** Final status of jobs that ended here, which never changes again and needs no comparison. */
-  private final Cache<JobId, JobStatus> ended =
-      Caffeine.newBuilder().maximumSize(MAX_ENDED_JOBS).executor(Runnable::run).build();
+  /** Final status of jobs that ended here, which never changes again and needs no read. */
+  private final Cache<JobId, JobStatus> ended;
 
-  /** The queries that wait for the next comparison, oldest first. */
+  /** The queries that wait for the next read, oldest first. */
   private final Map<JobId, PendingQuery> pending = new LinkedHashMap<>();
 
-  private boolean comparing;
+  private boolean isReading;
+  private MonotonicTime nextReadAt = MonotonicTime.NEVER;
 
-  StatusQueries(StepContext context, ShardJobs jobs, DependencyGraph dependencies) {
+  StatusQueries(
+      StepContext context,
+      ShardLease lease,
+      ShardJobs jobs,
+      DependencyGraph dependencies,
+      RecordChangeFeed changes) {
     this.context = context;
+    this.lease = lease;
     this.jobs = jobs;
     this.dependencies = dependencies;
+    this.changes = changes;
+    double readsPerS = READ_REQUEST_FRACTION * context.config().state().rps();
+    this.readIntervalMs = (long) (MS_PER_S * context.settings().shards() / readsPerS);
+    // Each end of a job is a write, so the write rate of the state service bounds them.
+    double endsPerS = context.config().state().writeRps();
+    this.ended =
+        Caffeine.newBuilder()
+            .maximumSize((long) Math.max(MIN_ENDED_JOBS, endsPerS * ENDED_JOBS_KEPT_S))
+            .executor(Runnable::run)
+            .build();
   }
 
   /** Records the status of a job whose final record is committed. */
@@ -140,19 +122,15 @@
     ended.put(id, status);
   }
 
-  /**
-   * Answers a query now, or adds it to the next comparison.
-   *
-   * @param isOwner whether this process owns the shard and knows its records
-   */
-  void query(JobId id, boolean isOwner, StatusCallback callback) {
+  /** Answers a query now, or after the next read. */
+  void query(JobId id, StatusCallback callback) {
     Optional<JobStatus> endStatus = findEnded(id);
     if (endStatus.isPresent()) {
       callback.onStatus(endStatus);
-    } else if (!isOwner) {
-      refuse(List.of(callback), REASON_NOT_READY);
+    } else if (!mayRead()) {
+      refuse(List.of(callback), Refusal.NOT_READY);
     } else if (jobs.find(id) == null) {
-      refuse(List.of(callback), REASON_UNKNOWN_JOB);
+      refuse(List.of(callback), Refusal.UNKNOWN_JOB);
     } else {
       pending
           .computeIfAbsent(id, absent -> new PendingQuery(context.now(), new ArrayList<>(1)))
@@ -165,29 +143,24 @@
     return Optional.ofNullable(ended.getIfPresent(id));
   }
 
-  /** Answers all pending queries with an empty status, since the ownership has ended. */
-  void close() {
-    pending.values().forEach(query -> refuse(query.callbacks(), REASON_NOT_READY));
-    pending.clear();
+  private boolean mayRead() {
+    return changes.isFollowing() && lease.isValid();
   }
 
-  /** Answers queries with an empty status and counts them by the reason. */
-  private void refuse(List<StatusCallback> callbacks, String reason) {
-    context.count("status.refused." + reason, callbacks.size());
-    complete(callbacks, Optional.empty());
+  /** Answers all pending queries with an empty status, since the ownership has ended. */
+  void close() {
+    refuseAll(Refusal.NOT_READY);
   }
 
-  private void completeEnded(JobId id, List<StatusCallback> callbacks) {
-    Optional<JobStatus> endStatus = findEnded(id);
-    if (endStatus.isEmpty()) {
-      refuse(callbacks, REASON_CHANGED);
-    } else {
-      complete(callbacks, endStatus);
-    }
+  private void refuseAll(Refusal reason) {
+    pending.values().forEach(query -> refuse(query.callbacks(), reason));
+    pending.clear();
   }
 
-  private static void complete(List<StatusCallback> callbacks, Optional<JobStatus> status) {
-    callbacks.forEach(callback -> callback.onStatus(status));
+  /** Answers queries with an empty status and counts them by the reason. */
+  private void refuse(List<StatusCallback> callbacks, Refusal reason) {
+    context.count(reason.metric, callbacks.size());
+    callbacks.forEach(callback -> callback.onStatus(Optional.empty()));
   }
 
   /** Updates the gauges of the pending queries' number and age. */
@@ -199,110 +172,97 @@
   }
 
   /**
-   * Compares the records of the pending queries, unless a comparison is in progress; called once a
-   * round.
+   * Reads the changes of the records and then answers all pending queries, unless a read is in
+   * progress or the last one began too recently; called once a round.
    */
   void answerPending() {
-    if (pending.isEmpty() || comparing) {
+    if (pending.isEmpty() || isReading) {
       return;
     }
-    Map<JobId, List<StatusCallback>> batch = new LinkedHashMap<>();
-    int limit = maxGuards();
-    for (Iterator<Map.Entry<JobId, PendingQuery>> iterator = pending.entrySet().iterator();
-        iterator.hasNext() && batch.size() < limit; ) {
-      Map.Entry<JobId, PendingQuery> query = iterator.next();
-      batch.put(query.getKey(), query.getValue().callbacks());
-      iterator.remove();
-    }
-    compare(batch, MAX_COMPARISONS);
-  }
-
-  private int maxGuards() {
-    return context.config().state().txnOps() * GUARDS_PER_OPERATION;
-  }
-
-  private void compare(Map<JobId, List<StatusCallback>> queries, int comparisonsLeft) {
-    Comparison comparison = new Comparison(queries);
-    for (JobId id : new ArrayList<>(queries.keySet())) {
-      addToComparison(comparison, id);
+    if (!mayRead()) {
+      refuseAll(Refusal.NOT_READY);
+      return;
     }
-    if (queries.isEmpty()) {
+    if (context.now().isBefore(nextReadAt)) {
       return;
     }
-    comparing = true;
-    context.count("state.requests.by.status_comparison");
+    Map<JobId, PendingQuery> batch = new LinkedHashMap<>(pending);
+    pending.clear();
+    isReading = true;
     MonotonicTime sent = context.now();
-    context
-        .store()
-        .commit(
-            comparison.transaction,
-            COMPARE_TIMEOUT_MS,
-            result -> {
-              comparing = false;
-              recordComparison(comparison, result, sent);
-              handleResult(comparison, result, comparisonsLeft);
-            });
+    nextReadAt = sent.plus(readIntervalMs);
+    changes.read(
+        READ_TIMEOUT_MS,
+        isComplete -> {
+          isReading = false;
+          if (isComplete) {
+            batch.forEach((id, query) -> answer(id, query, sent));
+          } else {
+            handleNoAnswer(batch);
+          }
+        });
   }
 
-  private void recordComparison(Comparison comparison, CommitResult result, MonotonicTime sent) {
-    String outcome = result.getClass().getSimpleName().toLowerCase(Locale.ROOT);
-    long roundTripMs = context.now().since(sent);
-    context.count("status.compared." + outcome);
-    context.count("status.compared.jobs", comparison.queries.size());
-    context.duration("status.compared.round_trip", roundTripMs);
-    if (!result.isCommitted()) {
-      context.infoLimited(
-          "status.comparison.failed",
-          "outcome=%s jobs=%d guards=%d round_trip_ms=%d pending=%d",
-          outcome,
-          comparison.queries.size(),
-          comparison.guardedKeys.size(),
-          roundTripMs,
-          pending.size());
+  /**
+   * Answers a query from memory.
+   *
+   * @param readSentAt when the read was sent whose changes were applied last
+   */
+  private void answer(JobId id, PendingQuery query, MonotonicTime readSentAt) {
+    if (readSentAt.isBefore(query.addedAt())) {
+      context.reportError("status.read.too_old", "status.read.too_old job=" + id);
+      refuse(query.callbacks(), Refusal.NO_ANSWER);
+      return;
     }
-  }
-
-  /** Adds a query to a comparison, or answers it if it can't be compared. */
-  private void addToComparison(Comparison comparison, JobId id) {
+    Optional<JobStatus> endStatus = findEnded(id);
     Job job = jobs.find(id);
-    if (job == null || job.record().status() == null) {
-      completeEnded(id, comparison.queries.remove(id));
-      return;
+    if (endStatus.isPresent()) {
+      query.complete(endStatus);
+    } else if (job == null) {
+      refuse(query.callbacks(), Refusal.UNKNOWN_JOB);
+    } else {
+      answerUnfinished(job, query);
     }
-    // A job is cancelled with any job that it depends on, so the records of those are guarded
-    // too.
-    int limit = maxGuards();
-    Optional<Collection<Job>> needed =
-        dependencies.transitiveDependencies(job, limit / QUERY_GUARD_DIVISOR);
-    if (needed.isEmpty() || comparison.guardedKeys.size() + needed.get().size() + 1 > limit) {
-      refuse(comparison.queries.remove(id), REASON_MANY_DEPENDENCIES);
+  }
+
+  private void answerUnfinished(Job job, PendingQuery query) {
+    Optional<JobStatus> status = job.record().latestStatus();
+    if (status.isEmpty()) {
+      refuse(query.callbacks(), Refusal.RECORD_GONE);
+    } else if (job.isCancelled()) {
+      query.complete(Optional.of(new JobStatus(JobState.CANCELLED, status.get().done(), 0)));
+    } else if (dependencies.areDependenciesUncancelled(job)) {
+      context.count("status.answered");
+      query.complete(status);
     } else {
-      comparison.guard(job, needed.get());
+      refuse(query.callbacks(), Refusal.OTHER_SHARDS);
     }
   }
 
-  private void handleResult(Comparison comparison, CommitResult result, int comparisonsLeft) {
-    Set<String> failedKeys =
-        result instanceof CommitResult.Conflict conflict ? conflict.failedKeys() : Set.of();
-    Map<JobId, List<StatusCallback>> toRetry = new LinkedHashMap<>();
-    comparison.queries.forEach(
-        (id, callbacks) -> {
-          if (result.isCommitted()) {
-            context.count("status.unchanged");
-            complete(callbacks, Optional.ofNullable(comparison.statuses.get(id)));
-          } else if (comparisonsLeft > 1
-              && !failedKeys.isEmpty()
-              && Collections.disjoint(failedKeys, comparison.keysByJob.get(id))) {
-            // A conflict need not name every guard that failed, so queries whose records it does
-            // not name are compared again.
-            toRetry.put(id, callbacks);
+  /** Keeps the queries whose askers still wait for the next read, and refuses the others. */
+  private void handleNoAnswer(Map<JobId, PendingQuery> batch) {
+    Map<JobId, PendingQuery> added = new LinkedHashMap<>(pending);
+    pending.clear();
+    batch.forEach(
+        (id, query) -> {
+          if (mayRead() && context.now().since(query.addedAt()) <= MAX_WAIT_MS) {
+            pending.put(id, query);
           } else {
-            context.count("status.changed");
-            completeEnded(id, callbacks);
+            refuse(query.callbacks(), Refusal.NO_ANSWER);
           }
         });
-    if (!toRetry.isEmpty()) {
-      compare(toRetry, comparisonsLeft - 1);
-    }
+    added.forEach((id, query) -> pending.merge(id, query, StatusQueries::join));
+    context.infoLimited(
+        "status.read.failed",
+        "shard=%s jobs=%d kept=%d revision=%d",
+        lease.shard(),
+        batch.size(),
+        pending.size(),
+        changes.revision());
+  }
+
+  private static PendingQuery join(PendingQuery older, PendingQuery newer) {
+    older.callbacks().addAll(newer.callbacks());
+    return older;
   }
 }
--- a/src/test/java/shorecrank/coordination/model/JobRecordStateTest.java
+++ b/src/test/java/shorecrank/coordination/model/JobRecordStateTest.java
@@ -4,13 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.WriterId;
+import shorecrank.protocol.Json;
+import shorecrank.protocol.StoreMessages.Change;
 import shorecrank.protocol.UserMessages.JobState;
 import shorecrank.protocol.UserMessages.JobStatus;
+import shorecrank.storage.JobRecord;
 
 /** Tests what is known of a job's record while writes to it are in flight, committed and read. */
 class JobRecordStateTest {
@@ -73,11 +79,37 @@
   }
 
   @Test
-  void recordIsOutdatedOnceAWatchShowsALaterRevision() {
-    record.observeRevision(new Revision(5));
-    record.observeRevision(new Revision(3));
+  void recordIsOutdatedOnceAChangeShowsALaterRevision() {
+    record.observe(change(5, null));
+    record.observe(change(3, null));
     assertTrue(record.isOutdated());
     job.recordCommitted(record.sequence(), new Revision(5), EPOCH, QUEUED);
     assertFalse(record.isOutdated());
   }
+
+  @Test
+  void latestStatusIsThatOfTheLatestRecordThatWasWrittenOrShown() {
+    JobStatus running = new JobStatus(JobState.RUNNING, 0, 1);
+    job.recordCommitted(record.sequence(), new Revision(4), EPOCH, running);
+    assertEquals(Optional.of(running), record.latestStatus());
+    JsonNode cancelled = job.toRecord(EPOCH, WRITER).markedCancelled().write();
+    record.observe(change(3, cancelled));
+    assertEquals(Optional.of(running), record.latestStatus(), "an earlier change");
+    record.observe(change(5, cancelled));
+    assertEquals(JobState.CANCELLED, record.latestStatus().orElseThrow().state());
+    job.recordCommitted(record.sequence(), new Revision(6), EPOCH, running);
+    assertEquals(Optional.of(running), record.latestStatus(), "a later write");
+  }
+
+  @Test
+  void latestStatusIsUnknownOnceTheRecordIsDeletedOrDamaged() {
+    record.observe(change(5, Json.parse("{\"e\":\"x\"}".getBytes(StandardCharsets.UTF_8))));
+    assertEquals(Optional.empty(), record.latestStatus(), "damaged");
+    record.observe(change(6, null));
+    assertEquals(Optional.empty(), record.latestStatus(), "deleted");
+  }
+
+  private Change change(long revision, JsonNode value) {
+    return new Change(JobRecord.liveKey(job.id()), value, new Revision(revision));
+  }
 }
--- a/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
+++ b/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
@@ -1,17 +1,16 @@
 package shorecrank.coordination.scheduling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static shorecrank.coordination.model.JobBuilder.id;
 import static shorecrank.coordination.model.JobBuilder.job;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -236,18 +235,29 @@
   }
 
   @Test
-  void transitiveDependenciesAreReturnedWithinTheShardAndUpToALimit() {
+  void dependenciesAreUncancelledOnlyIfEachIsAnUnfinishedJobOfTheShard() {
     Job first = add(job(1));
     Job second = add(job(2).dependsOn(1));
     Job third = add(job(3).dependsOn(2, 1));
     Job other = add(job(4).dependsOn(3, 99));
-    assertEquals(Optional.of(Set.of()), asSet(graph.transitiveDependencies(first, 2)));
-    assertEquals(Optional.of(Set.of(second, first)), asSet(graph.transitiveDependencies(third, 2)));
-    assertEquals(Optional.empty(), graph.transitiveDependencies(third, 1), "above the limit");
-    assertEquals(Optional.empty(), graph.transitiveDependencies(other, 9), "another shard's");
+    Job afterOther = add(job(5).dependsOn(4));
+    assertTrue(graph.areDependenciesUncancelled(first), "no dependencies");
+    assertTrue(graph.areDependenciesUncancelled(third), "direct and transitive ones");
+    assertFalse(graph.areDependenciesUncancelled(other), "another shard's");
+    assertFalse(graph.areDependenciesUncancelled(afterOther), "another shard's, transitively");
+    second.cancel();
+    assertFalse(graph.areDependenciesUncancelled(third), "a cancelled one");
   }
 
-  private static Optional<Set<Job>> asSet(Optional<Collection<Job>> found) {
-    return found.map(Set::copyOf);
+  @Test
+  void aLongChainOfDependenciesIsFollowedToItsEnd() {
+    Job last = add(job(1));
+    for (int number = 2; number <= 300; number++) {
+      last = add(job(number).dependsOn(number - 1));
+    }
+    assertTrue(graph.areDependenciesUncancelled(last));
+    add(job(1000).dependsOn(999));
+    Job behindMissing = add(job(1001).dependsOn(300, 1000));
+    assertFalse(graph.areDependenciesUncancelled(behindMissing));
   }
 }
--- a/src/test/java/shorecrank/coordination/shard/ShardJobsTest.java
+++ b/src/test/java/shorecrank/coordination/shard/ShardJobsTest.java
@@ -45,7 +45,8 @@
 
   private void commit() {
     long sequence = job.record().sequence();
-    job.recordCommitted(sequence, new Revision(sequence), EPOCH, job.record().status());
+    job.recordCommitted(
+        sequence, new Revision(sequence), EPOCH, job.record().latestStatus().orElseThrow());
     job.record().endWrite();
     jobs.recordCommitted(job);
   }
