Serve controllers and users before waiting heartbeats; judge reachability by heartbeats that arrive

What callers saw: with the load of 4,000 machines on a third of a core, owners lost their leases or were replaced as unreachable although they ran and the network was fine; until the next owner had read the records, queries fell to the few requests that each controller may send.

Cause: requests were processed in the order of arrival, also those whose senders had left, so lease renewals, answers of the state service and queries waited behind heartbeats. And an owner named workers as overdue whose heartbeats it had not processed, or which had arrived without the new epoch: after a failover a worker shows it only with a later heartbeat. The class: work of different urgency in one queue in which nothing expires, and a conclusion from silence by a process that is itself late.

New: WorkerSession.lastArrivedAt. A worker is overdue only if no newer heartbeat of it has arrived, confirmed or not; whether its lease has expired or its tasks are known still follows from confirmed ones alone.

--- a/src/main/java/shorecrank/coordination/ControllerStateMachine.java
+++ b/src/main/java/shorecrank/coordination/ControllerStateMachine.java
@@ -168,6 +168,8 @@
       context.handleAnswer(answer);
       // The answer may have named the owner that a held worker heartbeat has to go to.
       workers.retryHeld();
+    } else if (input instanceof Input.HeartbeatsDelayed) {
+      context.recordHeartbeatsDelayed();
     } else if (input instanceof Input.Tick tick) {
       tick(tick);
     }
--- a/src/main/java/shorecrank/coordination/model/WorkerLiveness.java
+++ b/src/main/java/shorecrank/coordination/model/WorkerLiveness.java
@@ -94,9 +94,12 @@
 
   /**
    * Returns how many workers' heartbeats are expected and how many are overdue. The leader compares
-   * these numbers between controllers.
+   * these numbers between controllers. None counts as overdue while this process is behind with
+   * processing heartbeats: the missing ones may wait here, and no other controller is behind less.
    */
   public WorkerReachability reachability() {
+    boolean areHeartbeatsDelayed =
+        context.now().since(context.heartbeatsDelayedAt()) < overdueMs() + REDIRECT_MS;
     int expected = 0;
     int overdue = 0;
     Map<String, ZoneCount> byZone = new TreeMap<>();
@@ -107,7 +110,7 @@
         ZoneCount zone = byZone.computeIfAbsent(machine.info().zone(), absent -> new ZoneCount());
         expected++;
         zone.expected++;
-        if (isOverdue(machine)) {
+        if (!areHeartbeatsDelayed && isOverdue(machine)) {
           overdue++;
           zone.overdue++;
         }
@@ -124,16 +127,22 @@
   }
 
   /**
-   * Reports whether the next heartbeat of a machine's worker should have arrived by now. A worker
-   * whose last heartbeat went to the previous owner first waits for that heartbeat to time out and
-   * then tries another controller, so a new owner allows it that time in addition.
+   * Reports whether the next heartbeat of a machine's worker should have arrived by now. Any newer
+   * heartbeat counts, also one that does not show this owner's epoch yet: after a failover, workers
+   * that reach the new owner show its epoch only with a later heartbeat. A worker whose last
+   * heartbeat went to the previous owner first waits for that heartbeat to time out and then tries
+   * another controller, so a new owner allows it that time in addition.
    */
   private boolean isOverdue(Machine machine) {
-    long redirectMs = machine.session().lastConfirmedAt().isBefore(grantedAt) ? REDIRECT_MS : 0;
-    return silentMs(machine)
-        > context.config().workers().heartbeatIntervalS() * OVERDUE_MS_PER_INTERVAL_S
-            + OVERDUE_MARGIN_MS
-            + redirectMs;
+    MonotonicTime arrivedAt = machine.session().lastArrivedAt();
+    boolean isNewHere = arrivedAt.isBefore(grantedAt);
+    long silentMs = context.now().since(isNewHere ? grantedAt : arrivedAt);
+    return silentMs > overdueMs() + (isNewHere ? REDIRECT_MS : 0);
+  }
+
+  private double overdueMs() {
+    return context.config().workers().heartbeatIntervalS() * OVERDUE_MS_PER_INTERVAL_S
+        + OVERDUE_MARGIN_MS;
   }
 
   /**
--- a/src/main/java/shorecrank/coordination/model/WorkerSession.java
+++ b/src/main/java/shorecrank/coordination/model/WorkerSession.java
@@ -36,6 +36,7 @@
   private long sequence = -1;
   private MonotonicTime firstConfirmedAt = MonotonicTime.NEVER;
   private MonotonicTime lastConfirmedAt = MonotonicTime.NEVER;
+  private MonotonicTime lastArrivedAt = MonotonicTime.NEVER;
 
   /** The address for direct commands, or empty if the worker has named none. */
   private String address = "";
@@ -90,6 +91,15 @@
     return lastConfirmedAt;
   }
 
+  /**
+   * Returns when the last heartbeat arrived, confirmed or not, that is newer than those before it;
+   * {@link MonotonicTime#NEVER} before the first one. It shows that the worker reaches this owner,
+   * not that the worker has received its answers.
+   */
+  public MonotonicTime lastArrivedAt() {
+    return lastArrivedAt;
+  }
+
   /** Reports whether a confirmed heartbeat has ever arrived. */
   public boolean hasConfirmedHeartbeat() {
     return firstConfirmedAt != MonotonicTime.NEVER;
@@ -179,7 +189,8 @@
    * Records a heartbeat that does not show this owner's epoch. It may be a delayed copy, so it does
    * not prove that the worker is alive.
    */
-  public void recordUnconfirmed(WorkerHeartbeat heartbeat) {
+  public void recordUnconfirmed(WorkerHeartbeat heartbeat, MonotonicTime now) {
+    lastArrivedAt = now;
     incarnation = heartbeat.incarnation();
     sequence = heartbeat.sequence();
     answered = true;
@@ -192,6 +203,7 @@
       tokens.clearDirectStarts();
     }
     tokens.recordShown(heartbeat.token());
+    lastArrivedAt = now;
     lastConfirmedAt = now;
     if (firstConfirmedAt == MonotonicTime.NEVER) {
       firstConfirmedAt = now;
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatHandler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatHandler.java
@@ -87,7 +87,7 @@
    */
   private void handleUnconfirmed(Machine machine, WorkerHeartbeat heartbeat) {
     context.count("report.unconfirmed");
-    machine.session().recordUnconfirmed(heartbeat);
+    machine.session().recordUnconfirmed(heartbeat, context.now());
     // Even a delayed copy proves that its incarnation has begun, so all earlier ones have ended.
     machines.abandonEarlierIncarnations(machine);
   }
--- a/src/main/java/shorecrank/coordination/step/Input.java
+++ b/src/main/java/shorecrank/coordination/step/Input.java
@@ -32,6 +32,12 @@
    */
   record Tick(RoundBudget budget) implements Input {}
 
+  /**
+   * Tells that this process has had workers' heartbeats waiting for long, so that missing
+   * heartbeats say nothing about the workers.
+   */
+  record HeartbeatsDelayed() implements Input {}
+
   /** A limit on the processor time of the scheduling rounds of one tick. */
   @FunctionalInterface
   interface RoundBudget {
--- a/src/main/java/shorecrank/coordination/step/StepContext.java
+++ b/src/main/java/shorecrank/coordination/step/StepContext.java
@@ -39,6 +39,7 @@
   private long wallMs;
   private SplittableRandom random = new SplittableRandom(0);
   private MonotonicTime lastPeerContactAt = MonotonicTime.NEVER;
+  private MonotonicTime heartbeatsDelayedAt = MonotonicTime.NEVER;
   private long lastInstanceNumber;
   private ReplyObserver replyObserver = (reply, status) -> {};
 
@@ -254,6 +255,20 @@
     return storeReachability.reachableSince();
   }
 
+  /** Records that heartbeats that were received have waited for long to be processed. */
+  public void recordHeartbeatsDelayed() {
+    heartbeatsDelayedAt = now;
+    count("heartbeats.delayed");
+  }
+
+  /**
+   * Returns when heartbeats had last waited for long; {@link MonotonicTime#NEVER} if that has not
+   * happened.
+   */
+  public MonotonicTime heartbeatsDelayedAt() {
+    return heartbeatsDelayedAt;
+  }
+
   /** Records that a message from another controller has arrived: an answer or a heartbeat. */
   public void recordPeerContact() {
     lastPeerContactAt = now;
--- a/src/main/java/shorecrank/transport/ControllerEventLoop.java
+++ b/src/main/java/shorecrank/transport/ControllerEventLoop.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.EpochClock;
@@ -60,6 +61,13 @@
 
   private static final int MIN_PEER_SOCKETS = 16;
 
+  /** How long waiting requests are processed before the sockets are read again. */
+  private static final long PROCESSING_SLICE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+  /** A request that has not been processed yet. */
+  private record Received(
+      Exchange exchange, boolean fromPeer, String method, String path, byte[] body) {}
+
   private final NodeConfig config;
   private final Settings settings;
   private final ControllerStateMachine stateMachine;
@@ -72,6 +80,9 @@
   private final SplittableRandom stepSeeds = new SplittableRandom(new SecureRandom().nextLong());
   private final Long2ObjectOpenHashMap<Exchange> pendingExchanges = new Long2ObjectOpenHashMap<>();
   private final OutboundCalls outboundCalls;
+  private final RequestQueue<Received> requests =
+      new RequestQueue<>(received -> !received.exchange.isOpen(), this::onDropped);
+  private boolean isProcessingScheduled;
   private long nextExchangeId = 1;
 
   /** The time on {@link #nanoClock} at which the next scheduling round is due. */
@@ -122,6 +133,7 @@
             (exchange, method, path, body) -> receive(exchange, true, method, path, body));
     users.bind(eventLoops, config.publicAddr());
     peers.bind(eventLoops, config.peerBind());
+    metrics.registerGauge("requests.waiting", requests, RequestQueue::size);
     metrics.registerGauge("sockets.public", users, HttpServer::openConnections);
     metrics.registerGauge("sockets.public.workers", users, HttpServer::workerConnections);
     metrics.registerGauge("sockets.public.limit", users, HttpServer::maxConnections);
@@ -159,14 +171,52 @@
       exchange.reply(200, "text/plain", text, 0);
       return;
     }
-    long id = nextExchangeId++;
-    pendingExchanges.put(id, exchange);
-    step(new Input.Request(id, fromPeer, method, path, body));
+    requests.add(
+        RequestClass.of(fromPeer, method, path),
+        new Received(exchange, fromPeer, method, path, body),
+        nowMs());
+    if (!isProcessingScheduled) {
+      isProcessingScheduled = true;
+      // Runs after all sockets that are ready have been read.
+      loop.execute(this::processRequests);
+    }
+  }
+
+  /**
+   * Processes waiting requests for a limited time. The rest waits until the sockets, which may hold
+   * answers of the state service or requests that are served first, have been read again.
+   */
+  private void processRequests() {
+    isProcessingScheduled = false;
+    long endNanos = nanoClock.nanoTime() + PROCESSING_SLICE_NANOS;
+    while (nanoClock.nanoTime() < endNanos) {
+      Received next = requests.poll(nowMs());
+      if (next == null) {
+        return;
+      }
+      long id = nextExchangeId++;
+      pendingExchanges.put(id, next.exchange);
+      step(new Input.Request(id, next.fromPeer, next.method, next.path, next.body));
+    }
+    isProcessingScheduled = true;
+    loop.schedule(this::processRequests, 0, TimeUnit.NANOSECONDS);
+  }
+
+  private void onDropped(RequestClass requestClass, Received dropped) {
+    metrics.increment("requests.dropped." + requestClass.name().toLowerCase(Locale.ROOT), 1);
+    dropped.exchange.abort();
+  }
+
+  private long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(nanoClock.nanoTime());
   }
 
   private void runRound() {
     long startedNanos = nanoClock.nanoTime();
     metrics.recordRoundDelay(Math.max(0, startedNanos - nextRoundNanos));
+    if (requests.isOverloaded(nowMs())) {
+      step(new Input.HeartbeatsDelayed());
+    }
     long budget = TimeUnit.MILLISECONDS.toNanos(settings.roundBudgetMs());
     step(new Input.Tick(() -> nanoClock.nanoTime() - startedNanos > budget));
     nextRoundNanos = nanoClock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.roundMs());
@@ -179,10 +229,7 @@
     try {
       outputs =
           stateMachine.step(
-              input,
-              new MonotonicTime(TimeUnit.NANOSECONDS.toMillis(nanoClock.nanoTime())),
-              wallClock.time(),
-              stepSeeds.nextLong());
+              input, new MonotonicTime(nowMs()), wallClock.time(), stepSeeds.nextLong());
     } catch (RuntimeException | Error e) {
       // The failed step may have changed only a part of the state. The process ends, so that a new
       // one recovers a consistent state from the state service.
--- a/src/main/java/shorecrank/transport/HttpServer.java
+++ b/src/main/java/shorecrank/transport/HttpServer.java
@@ -166,6 +166,16 @@
       this.isKeepAlive = isKeepAlive;
     }
 
+    /** Reports whether the client is still connected. */
+    boolean isOpen() {
+      return channel.channel().isActive();
+    }
+
+    /** Closes the connection without a reply, as the client has stopped waiting for one. */
+    void abort() {
+      channel.close();
+    }
+
     /**
      * Sends the reply.
      *
--- a/src/test/java/shorecrank/coordination/model/WorkerLivenessTest.java
+++ b/src/test/java/shorecrank/coordination/model/WorkerLivenessTest.java
@@ -99,6 +99,18 @@
     assertEquals(overdue, liveness.reachability().overdue());
   }
 
+  @Test
+  void workersWhoseHeartbeatsArriveButDoNotShowTheEpochAreNotOverdue() {
+    Machine machine = machine(1).heardAt(GRANTED_AT).build();
+    machines.add(machine);
+    machine.session().recordUnconfirmed(machine.session().lastHeartbeat(), GRANTED_AT.plus(9000));
+    advanceToMsAfterGrant(16_000);
+    assertEquals(0, liveness.reachability().overdue());
+    assertFalse(liveness.isFresh(machine), "an unconfirmed heartbeat shows no tasks");
+    advanceToMsAfterGrant(16_001);
+    assertEquals(1, liveness.reachability().overdue());
+  }
+
   @Test
   void zoneIsUnreachableIfMostOfItsWorkersAreOverdue() {
     MonotonicTime now = GRANTED_AT.plus(20_000);
@@ -139,4 +151,16 @@
     advanceToMsAfterGrant(20_000);
     assertEquals(many, liveness.isMissingManyWorkers());
   }
+
+  @Test
+  void noWorkerIsOverdueWhileHeartbeatsWaitToBeProcessed() {
+    add(machine(1).heardAt(GRANTED_AT));
+    advanceToMsAfterGrant(20_000);
+    context.recordHeartbeatsDelayed();
+    assertEquals(new WorkerReachability(1, 0, List.of()), liveness.reachability());
+    advanceToMsAfterGrant(31_999);
+    assertEquals(0, liveness.reachability().overdue());
+    advanceToMsAfterGrant(32_000);
+    assertEquals(1, liveness.reachability().overdue());
+  }
 }
--- a/src/test/java/shorecrank/sim/SimulatedController.java
+++ b/src/test/java/shorecrank/sim/SimulatedController.java
@@ -98,6 +98,9 @@
   }
 
   private void runRound(Input round, int startNumber) {
+    if (processor != null && processor.isOverloaded()) {
+      step(new Input.HeartbeatsDelayed());
+    }
     step(round);
     world().checker.roundCompleted(this);
     world().counters.addRounds(stateMachine.ownedEpochs().size());
