Wait for an owner that is behind as long as the user waits, and read for queries at once

Asking controllers gave up after 700 ms, although users wait for 2 s, and each then needed a request of its own; meanwhile they sent the owner a message every 50 ms. The class: a time-out in the middle that is shorter than the caller's, so that work is done and thrown away, and its replacement costs a scarce budget.

Change: the read is sent when queries arrive, at most once in 50 ms and one at a time; the asking controller waits 1.5 s; at most four messages to an owner are unanswered, spread over the time that the owner takes, and what could not be sent for 400 ms goes to the state service. QueryAnswerMonitor no longer drops its oldest job when the job asked about is recorded already.

--- a/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
+++ b/src/main/java/shorecrank/coordination/StatusQueryForwarder.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +18,7 @@
 import shorecrank.coordination.shard.ShardOwner;
 import shorecrank.coordination.shard.StatusQueries.StatusCallback;
 import shorecrank.coordination.step.StepContext;
-import shorecrank.protocol.HeartbeatMessages.OwnerInfo;
+import shorecrank.protocol.Ids.ControllerName;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.Ids.ShardId;
@@ -28,15 +29,51 @@
 /**
  * Queries shard owners, in this process or at other controllers, for the status of jobs, and
  * answers such queries from other controllers. The queries between two ticks about the jobs of one
- * shard are sent to its owner in one message.
+ * shard are sent to its owner in one message; while several messages are unanswered, the queries of
+ * further ticks go together, so that an owner that is behind gets fewer messages.
  */
 final class StatusQueryForwarder implements OwnerQueries {
-  private static final int QUERY_TIMEOUT_MS = 700;
+  /** Time after which the state service is asked instead. Users wait for 2 s. */
+  private static final int QUERY_TIMEOUT_MS = 1500;
+
+  /** A query that could not be sent to the owner for this long goes to the state service. */
+  private static final int MAX_PENDING_MS = 400;
+
+  /**
+   * While so many messages to the owner of a shard are unanswered, no further one is sent. They are
+   * spread over the time that the owner takes for an answer.
+   */
+  private static final int MAX_MESSAGES_IN_FLIGHT = 4;
+
+  /** The queries about one job that wait to be sent. */
+  private record PendingQuery(MonotonicTime askedAt, List<StatusCallback> callbacks) {
+    void complete(Optional<JobStatus> status) {
+      callbacks.forEach(callback -> callback.onStatus(status));
+    }
+  }
+
+  /** The queries about the jobs of one shard that other controllers own. */
+  private static final class ShardMessages {
+    /** The oldest first. */
+    final Map<JobId, PendingQuery> pending = new LinkedHashMap<>();
+
+    int inFlight;
+    MonotonicTime nextSendAt = MonotonicTime.NEVER;
+
+    /** How long the owner took for its latest answer, in milliseconds. */
+    long roundTripMs;
+
+    boolean maySend(MonotonicTime now) {
+      return !pending.isEmpty()
+          && inFlight < MAX_MESSAGES_IN_FLIGHT
+          && (inFlight == 0 || !now.isBefore(nextSendAt));
+    }
+  }
 
   private final StepContext context;
   private final OwnerTable owners;
   private final OwnedShards shards;
-  private final Map<ShardId, Map<JobId, List<StatusCallback>>> pending = new TreeMap<>();
+  private final Map<ShardId, ShardMessages> messages = new TreeMap<>();
 
   StatusQueryForwarder(StepContext context, OwnerTable owners, OwnedShards shards) {
     this.context = context;
@@ -78,62 +115,75 @@
     ShardOwner shardOwner = shards.find(shard);
     if (shardOwner != null) {
       shardOwner.queryStatus(job, callback);
+      shardOwner.answerQueries();
     } else if (owners.findOther(shard).isEmpty()) {
       callback.onStatus(Optional.empty());
     } else {
-      pending
-          .computeIfAbsent(shard, key -> new LinkedHashMap<>())
-          .computeIfAbsent(job, key -> new ArrayList<>(1))
+      messages
+          .computeIfAbsent(shard, key -> new ShardMessages())
+          .pending
+          .computeIfAbsent(job, key -> new PendingQuery(context.now(), new ArrayList<>(1)))
+          .callbacks()
           .add(callback);
     }
   }
 
   /**
    * Sends the queries to other controllers that have been collected since the last tick, in
-   * messages of at most {@link StatusQueryCodec#MAX_JOBS} jobs.
+   * messages of at most {@link StatusQueryCodec#MAX_JOBS} jobs. Queries that could not be sent in
+   * time receive no status.
    */
   void sendPending() {
-    pending.forEach(this::send);
-    pending.clear();
+    messages.forEach(
+        (shard, queue) -> {
+          dropExpired(queue);
+          Optional<ControllerName> owner = owners.findOther(shard);
+          if (owner.isEmpty()) {
+            queue.pending.values().forEach(query -> query.complete(Optional.empty()));
+            queue.pending.clear();
+          }
+          if (queue.maySend(context.now())) {
+            send(shard, owner.orElseThrow(), queue);
+          }
+        });
   }
 
-  private void send(ShardId shard, Map<JobId, List<StatusCallback>> queries) {
-    OwnerInfo owner = owners.find(shard);
-    if (owner == null) {
-      answer(queries, Map.of());
-      return;
-    }
-    Map<JobId, List<StatusCallback>> message = new LinkedHashMap<>();
-    for (Map.Entry<JobId, List<StatusCallback>> query : queries.entrySet()) {
-      message.put(query.getKey(), query.getValue());
-      if (message.size() == StatusQueryCodec.MAX_JOBS) {
-        sendMessage(owner, message);
-        message = new LinkedHashMap<>();
+  private void dropExpired(ShardMessages queue) {
+    Iterator<PendingQuery> oldest = queue.pending.values().iterator();
+    while (oldest.hasNext()) {
+      PendingQuery query = oldest.next();
+      if (context.now().since(query.askedAt()) <= MAX_PENDING_MS) {
+        return;
       }
-    }
-    if (!message.isEmpty()) {
-      sendMessage(owner, message);
+      oldest.remove();
+      context.count("status.not_sent");
+      query.complete(Optional.empty());
     }
   }
 
-  private void sendMessage(OwnerInfo owner, Map<JobId, List<StatusCallback>> queries) {
+  private void send(ShardId shard, ControllerName owner, ShardMessages queue) {
+    Map<JobId, PendingQuery> sent = new LinkedHashMap<>();
+    Iterator<Map.Entry<JobId, PendingQuery>> oldest = queue.pending.entrySet().iterator();
+    MonotonicTime sentAt = context.now();
+    while (oldest.hasNext() && sent.size() < StatusQueryCodec.MAX_JOBS) {
+      Map.Entry<JobId, PendingQuery> query = oldest.next();
+      sent.put(query.getKey(), query.getValue());
+      oldest.remove();
+    }
+    queue.inFlight++;
+    queue.nextSendAt = sentAt.plus(queue.roundTripMs / MAX_MESSAGES_IN_FLIGHT);
     context
         .peers()
         .queryStatus(
-            owner.controller(),
-            owner.shard(),
-            queries.keySet(),
+            owner,
+            shard,
+            sent.keySet(),
             QUERY_TIMEOUT_MS,
-            statuses -> answer(queries, statuses));
-  }
-
-  private static void answer(
-      Map<JobId, List<StatusCallback>> queries, Map<JobId, JobStatus> statuses) {
-    queries.forEach(
-        (job, callbacks) -> {
-          Optional<JobStatus> status = Optional.ofNullable(statuses.get(job));
-          callbacks.forEach(callback -> callback.onStatus(status));
-        });
+            statuses -> {
+              queue.inFlight--;
+              queue.roundTripMs = context.now().since(sentAt);
+              sent.forEach((job, query) -> query.complete(Optional.ofNullable(statuses.get(job))));
+            });
   }
 
   /** Answers another controller's query once the shard owner has answered for each of its jobs. */
@@ -148,6 +198,7 @@
     for (JobId job : query.jobs()) {
       shardOwner.queryStatus(job, status -> answer.add(job, status));
     }
+    shardOwner.answerQueries();
   }
 
   /** Passes on the first answer of an owner that knows the job, or that none does. */
--- a/src/main/java/shorecrank/coordination/request/QueryAnswerMonitor.java
+++ b/src/main/java/shorecrank/coordination/request/QueryAnswerMonitor.java
@@ -119,7 +119,7 @@
   }
 
   private UnansweredJob recordUnanswered(Query query) {
-    if (unanswered.size() >= MAX_UNANSWERED_JOBS) {
+    if (unanswered.size() >= MAX_UNANSWERED_JOBS && !unanswered.containsKey(query.job)) {
       unanswered.remove(unanswered.keySet().iterator().next());
     }
     UnansweredJob job =
--- a/src/main/java/shorecrank/coordination/request/QuerySource.java
+++ b/src/main/java/shorecrank/coordination/request/QuerySource.java
@@ -19,8 +19,10 @@
   /** Another controller, which answers in place of this one. */
   FORWARDED;
 
+  private final String label = name().toLowerCase(Locale.ROOT);
+
   /** Returns the name that metrics and log lines use. */
   String label() {
-    return name().toLowerCase(Locale.ROOT);
+    return label;
   }
 }
--- a/src/main/java/shorecrank/coordination/shard/ShardOwner.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardOwner.java
@@ -327,7 +327,7 @@
   }
 
   /**
-   * Queries the status of a job.
+   * Queries the status of a job. The answer follows at once, or after {@link #answerQueries}.
    *
    * @param callback receives the status; empty if this owner can't tell it
    */
@@ -335,6 +335,11 @@
     statusQueries.query(id, callback);
   }
 
+  /** Starts to answer the queries that were added, as soon as the state service may be asked. */
+  public void answerQueries() {
+    statusQueries.answerPending();
+  }
+
   // ---- leader ----------------------------------------------------------------------------------
 
   /** Returns the machines of the shard. */
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -23,13 +23,13 @@
  * controller had given before the queries arrived. The cost does not depend on the number of jobs.
  */
 public final class StatusQueries {
-  private static final int READ_TIMEOUT_MS = 600;
+  private static final int READ_TIMEOUT_MS = 1200;
 
   /**
-   * After a read without an answer, queries that are older are refused. The asking controller waits
-   * for 700 ms.
+   * After a read without an answer, queries that are older are refused, so that the asking
+   * controller can read the state service while the user waits.
    */
-  private static final int MAX_WAIT_MS = 500;
+  private static final int MAX_WAIT_MS = 1000;
 
   /** The owners of all shards together use at most this fraction of the requests for reads. */
   private static final double READ_REQUEST_FRACTION = 0.25;
@@ -107,7 +107,10 @@
     this.dependencies = dependencies;
     this.changes = changes;
     double readsPerS = READ_REQUEST_FRACTION * context.config().state().rps();
-    this.readIntervalMs = (long) (MS_PER_S * context.settings().shards() / readsPerS);
+    this.readIntervalMs =
+        Math.max(
+            context.settings().roundMs(),
+            (long) (MS_PER_S * context.settings().shards() / readsPerS));
     // Each end of a job is a write, so the write rate of the state service bounds them.
     double endsPerS = context.config().state().writeRps();
     this.ended =
@@ -122,7 +125,7 @@
     ended.put(id, status);
   }
 
-  /** Answers a query now, or after the next read. */
+  /** Answers a query now, or after the read that {@link #answerPending} starts next. */
   void query(JobId id, StatusCallback callback) {
     Optional<JobStatus> endStatus = findEnded(id);
     if (endStatus.isPresent()) {
@@ -173,7 +176,8 @@
 
   /**
    * Reads the changes of the records and then answers all pending queries, unless a read is in
-   * progress or the last one began too recently; called once a round.
+   * progress or the last one began too recently; called when queries have arrived, and once a round
+   * for those that have to wait.
    */
   void answerPending() {
     if (pending.isEmpty() || isReading) {
@@ -200,6 +204,7 @@
           } else {
             handleNoAnswer(batch);
           }
+          answerPending();
         });
   }
 
--- a/src/test/java/shorecrank/sim/Declarations.java
+++ b/src/test/java/shorecrank/sim/Declarations.java
@@ -117,17 +117,19 @@
   }
 
   /**
-   * Parses {@code processor heartbeat=MS user=MS other=MS [cold=FACTOR] [warm-up=S]}: how long a
-   * controller's processor takes for an input, and how many times longer in the first seconds of
-   * processor time after its start.
+   * Parses {@code processor heartbeat=MS user=MS other=MS [owner-round=MS] [cold=FACTOR]
+   * [warm-up=S]}: how long a controller's processor takes for an input, and how many times longer
+   * in the first seconds of processor time after its start. A round takes as long as any other
+   * input unless given.
    */
   private static Declaration processor(ScenarioLine line) {
-    String[] names = {"heartbeat", "user", "other", "cold", "warm-up"};
+    String[] names = {"heartbeat", "user", "other", "owner-round", "cold", "warm-up"};
     ScenarioOptions options = line.options(1).allow(names).requireNumbers(names);
     ProcessorCosts costs =
         new ProcessorCosts(
             options.decimal("heartbeat", 0),
             options.decimal("user", 0),
+            options.decimal("owner-round", options.decimal("other", 0)),
             options.decimal("other", 0),
             options.decimal("cold", 1),
             options.decimal("warm-up", 0) * MS_PER_S);
--- a/src/test/java/shorecrank/sim/SimulatedController.java
+++ b/src/test/java/shorecrank/sim/SimulatedController.java
@@ -65,7 +65,11 @@
             setup,
             world().shares.settingsFor(this));
     processor =
-        world().site.processorCosts().map(costs -> new SimulatedProcessor(sim, costs)).orElse(null);
+        world()
+            .site
+            .processorCosts()
+            .map(costs -> new SimulatedProcessor(sim, costs, () -> !ownedEpochs().isEmpty()))
+            .orElse(null);
     int startNumber = startCount();
     sim.after(FIRST_TICK_MS + sim.random().nextInt(FIRST_TICK_SPREAD_MS), () -> tick(startNumber));
   }
--- a/src/test/java/shorecrank/sim/SimulatedProcessor.java
+++ b/src/test/java/shorecrank/sim/SimulatedProcessor.java
@@ -16,6 +16,7 @@
 
   private final Simulation sim;
   private final ProcessorCosts costs;
+  private final BooleanSupplier ownsShard;
   private final ArrayDeque<Work> urgent = new ArrayDeque<>();
   private final RequestQueue<Work> requests =
       new RequestQueue<>(work -> false, (requestClass, work) -> {});
@@ -23,9 +24,13 @@
   private double freeAtMs;
   private boolean busy;
 
-  SimulatedProcessor(Simulation sim, ProcessorCosts costs) {
+  /**
+   * @param ownsShard whether the controller owns a shard now
+   */
+  SimulatedProcessor(Simulation sim, ProcessorCosts costs, BooleanSupplier ownsShard) {
     this.sim = sim;
     this.costs = costs;
+    this.ownsShard = ownsShard;
   }
 
   /**
@@ -58,7 +63,7 @@
     if (!busy) {
       return;
     }
-    double costMs = costs.costMs(next.input, usedMs);
+    double costMs = costs.costMs(next.input, usedMs, ownsShard.getAsBoolean());
     usedMs += costMs;
     freeAtMs = Math.max(freeAtMs, sim.now()) + costMs;
     sim.at((long) Math.ceil(freeAtMs), () -> finish(next));
