--- a/src/test/java/shorecrank/sim/LoadBalancer.java
+++ b/src/test/java/shorecrank/sim/LoadBalancer.java
@@ -48,11 +48,6 @@
         () -> probe(node));
   }
 
-  /** Returns how many controllers get new connections now. */
-  int healthyCount() {
-    return (int) world.controllers().stream().filter(node -> backends.get(node).isUsable()).count();
-  }
-
   /**
    * Opens a connection to a healthy controller.
    *
--- a/src/test/java/shorecrank/sim/SimulatedStateService.java
+++ b/src/test/java/shorecrank/sim/SimulatedStateService.java
@@ -148,7 +148,6 @@
     int operations = body == null ? 0 : body.path("apply").size();
     meter.add(operations);
     if (rates != null && !isInOutage() && !rates.tryTake(operations)) {
-      meter.addRefusedForRate();
       reply.accept(TOO_MANY_REQUESTS, Json.error("rate"));
       return;
     }
--- a/src/test/java/shorecrank/sim/StateServiceMeter.java
+++ b/src/test/java/shorecrank/sim/StateServiceMeter.java
@@ -12,7 +12,6 @@
   private int requestsThisSecond;
   private int changesThisSecond;
   private int refusedForSize;
-  private int refusedForRate;
 
   StateServiceMeter(Simulation sim) {
     this.sim = sim;
@@ -41,16 +40,6 @@
     refusedForSize++;
   }
 
-  /** Counts a request that was refused because a rate was exceeded. */
-  void addRefusedForRate() {
-    refusedForRate++;
-  }
-
-  /** Returns the number of requests that were refused because a rate was exceeded. */
-  int refusedForRate() {
-    return refusedForRate;
-  }
-
   /** Returns the number of requests so far. */
   int requests() {
     return requests;
