--- a/src/test/java/shorecrank/sim/World.java
+++ b/src/test/java/shorecrank/sim/World.java
@@ -79,6 +79,18 @@
     return jobs.ids().stream().allMatch(checker.answers()::isOver);
   }
 
+  /**
+   * Reports whether each job is over or, if its user gave up submitting it while faults could still
+   * have effects, was not accepted.
+   */
+  boolean areAllJobsSettled() {
+    AnswerHistory answers = checker.answers();
+    return jobs.ids().stream()
+        .allMatch(
+            job ->
+                answers.isOver(job) || (!answers.isAccepted(job) && users.gaveUpDuringFaults(job)));
+  }
+
   // ---- controllers -----------------------------------------------------------------------------
 
   /** Creates and starts this number of controllers. */
