Let reads for queries leave the watch of new jobs as it was

With the read index, each read postponed the next watch by 250 ms, so that a job accepted in between was seen by its owner later than before. The watch again pauses only after its own answers.

--- a/src/main/java/shorecrank/coordination/shard/RecordChangeFeed.java
+++ b/src/main/java/shorecrank/coordination/shard/RecordChangeFeed.java
@@ -21,8 +21,8 @@
   private static final int WATCH_RETRY_MS = 200;
 
   /**
-   * Pause between the answer to a watch or a read and the next watch. Each watch costs one request,
-   * whatever the number of changes that it reports, so a few watches per second suffice.
+   * Pause between watches. Each watch costs one request, whatever the number of changes that it
+   * reports, so a few watches per second suffice.
    */
   private static final int WATCH_PAUSE_MS = 250;
 
@@ -105,7 +105,7 @@
     }
   }
 
-  /** Opens a watch, unless one is open or the last answer is recent. */
+  /** Opens a watch, unless one is open or the last one was answered recently. */
   void watchIfDue() {
     if (!following || watchInProgress || context.now().isBefore(nextWatchAt)) {
       return;
@@ -123,14 +123,21 @@
             WATCH_HOLD_MS,
             result -> {
               watchInProgress = false;
-              if (sentIn == generation && !handle(result, sent, sentAfter)) {
-                context.count("shard.watch.unanswered");
-                nextWatchAt =
-                    context.now().plus(WATCH_RETRY_MS + context.random().nextInt(WATCH_RETRY_MS));
+              if (sentIn == generation) {
+                scheduleNextWatch(handle(result, sent, sentAfter));
               }
             });
   }
 
+  private void scheduleNextWatch(boolean isAnswered) {
+    int pauseMs = WATCH_PAUSE_MS;
+    if (!isAnswered) {
+      context.count("shard.watch.unanswered");
+      pauseMs = WATCH_RETRY_MS + context.random().nextInt(WATCH_RETRY_MS);
+    }
+    nextWatchAt = context.now().plus(pauseMs);
+  }
+
   /**
    * Reads the changes that the state service has now.
    *
@@ -188,7 +195,6 @@
     }
     revision = Math.max(passedOn, changes.revision());
     advanceShownUpTo(sent);
-    nextWatchAt = context.now().plus(WATCH_PAUSE_MS);
     return true;
   }
 }
