--- a/review/1/ChainCase.java
+++ b/review/1/ChainCase.java
@@ -9,7 +9,7 @@
 final class ChainCase {
   private static final int JOBS = 190;
   private static final int FEWEST_JOBS = 186;
-  private static final double SUBMIT_UNTIL_S = 104;
+  private static final double SUBMIT_UNTIL_S = 109;
   private static final double OBSERVE_UNTIL_S = 117;
   private static final double OBSERVE_S = 14;
   private static final int HIGHEST_ID = 900_000;
--- a/review/lib/Rig.java
+++ b/review/lib/Rig.java
@@ -44,6 +44,7 @@
   }
 
   private static final String RUN_KEY = "run = ";
+  private static final int EXIT_USAGE = 2;
 
   /** Values of the site's settings; the defaults are those of the site compas-mvd. */
   static final class Site {
@@ -86,7 +87,11 @@
   final State state;
   final Cloud cloud;
   final List<Controller> controllers = new java.util.concurrent.CopyOnWriteArrayList<>();
+  private static final double IMAGE_GB = 0.1;
+  private static final double FETCH_GB_PER_S = 0.5;
+
   final Map<String, Double> runS = new ConcurrentHashMap<>();
+  final Map<String, Double> cpus = new ConcurrentHashMap<>();
   final Map<String, Long> starts = new ConcurrentHashMap<>();
   final Map<String, Integer> doneTasks = new ConcurrentHashMap<>();
   final List<String> violations = new ArrayList<>();
@@ -173,9 +178,20 @@
     }
   }
 
+  private static final java.util.Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
+  /** Returns a free port below those that the system gives to outgoing connections. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = 11_000 + (int) (Math.random() * 20_000);
+      if (TAKEN.add(port)) {
+        try (ServerSocket socket = new ServerSocket()) {
+          socket.bind(new InetSocketAddress("127.0.0.1", port));
+          return port;
+        } catch (java.net.BindException e) {
+          // Another process has it: tries the next.
+        }
+      }
     }
   }
 
@@ -631,7 +647,7 @@
         ObjectNode answer = JSON.createObjectNode();
         ObjectNode type = answer.putArray("hosttypes").addObject();
         type.put("sku", site.type).put("cpus", site.typeCpus).put("accelerators", 0);
-        type.put("memoryGb", site.typeMemoryGb).put("localGb", 70.0).put("fetchGbPerS", 0.5);
+        type.put("memoryGb", site.typeMemoryGb).put("localGb", 70.0).put("fetchGbPerS", FETCH_GB_PER_S);
         type.put("hourly", 0.64).put("spotPrice", 0.24).put("startupS", 50);
         ArrayNode zones = type.putArray("sites");
         Arrays.stream(site.zones).forEach(zones::add);
@@ -705,6 +721,8 @@
       long attempt;
       String phase;
       String cause;
+      double cpus;
+      long fetchedNanos;
       long endNanos;
     }
 
@@ -724,6 +742,7 @@
     volatile boolean spot;
     volatile double rentedAt;
     private volatile double hungUntil;
+    private long imageAtNanos;
 
     Machine(String name, String zone) throws IOException {
       this.name = name;
@@ -806,11 +825,11 @@
       }
     }
 
-    /** Counts the tasks of a job that have not exited. */
+    /** Counts the tasks of a job that are on the machine: their image is there, they have not exited. */
     int count(String job) {
       int count = 0;
       for (Task task : List.copyOf(tasks.values())) {
-        count += task.piece.startsWith(job + "/") && !task.phase.equals("exited") ? 1 : 0;
+        count += task.piece.startsWith(job + "/") && task.phase.equals("running") ? 1 : 0;
       }
       return count;
     }
@@ -901,6 +920,9 @@
           checkLease();
           long now = System.nanoTime();
           for (Task task : tasks.values()) {
+            if (task.phase.equals("pulling") && now >= task.fetchedNanos) {
+              begin(task);
+            }
             if (task.phase.equals("running") && now >= task.endNanos) {
               task.phase = "exited";
               task.cause = "done";
@@ -950,18 +972,42 @@
       task.piece = piece;
       task.attempt = attempt;
       String job = piece.substring(0, piece.indexOf('/'));
-      Double seconds = runS.get(job);
-      task.phase = seconds == null ? "exited" : "running";
-      task.cause = seconds == null ? "unknown" : null;
-      task.endNanos =
-          System.nanoTime() + (long) (Math.max(0.05, seconds == null ? 0 : seconds) * 1e9);
+      task.cpus = cpus.getOrDefault(job, 0.0);
+      double used = task.cpus;
+      boolean busy = false;
+      for (Task other : tasks.values()) {
+        if (!other.phase.equals("exited")) {
+          used += other.cpus;
+          busy |= other.piece.equals(piece);
+        }
+      }
+      if (!runS.containsKey(job)) {
+        task.cause = "unknown";
+      } else if (busy) {
+        task.cause = "busy";
+      } else if (used > site.typeCpus + 1e-6) {
+        task.cause = "full";
+      }
+      task.phase = task.cause == null ? "pulling" : "exited";
+      // All jobs have one small image, which a machine fetches once.
+      if (imageAtNanos == 0) {
+        imageAtNanos = System.nanoTime() + (long) (IMAGE_GB / FETCH_GB_PER_S * 1e9);
+      }
+      task.fetchedNanos = imageAtNanos;
       tasks.put(key, task);
       changed = true;
-      starts.put(piece, System.nanoTime());
-      log("task %s try %d started on %s in %s", piece, attempt, name, zone);
-      if (task.cause == null) {
-        onStart.accept(this, piece);
-      }
+      log("task %s try %d %s on %s", piece, attempt, task.cause == null ? "commanded"
+          : "refused as " + task.cause, name);
+    }
+
+    private void begin(Task task) {
+      String job = task.piece.substring(0, task.piece.indexOf('/'));
+      task.phase = "running";
+      task.endNanos = System.nanoTime() + (long) (Math.max(0.05, runS.get(job)) * 1e9);
+      changed = true;
+      starts.put(task.piece, System.nanoTime());
+      log("task %s try %d started on %s in %s", task.piece, task.attempt, name, zone);
+      onStart.accept(this, task.piece);
     }
   }
 
@@ -1012,6 +1058,10 @@
         if (closed) {
           return;
         }
+        if (!killed && status == EXIT_USAGE) {
+          Rig.this.log("controller %s could not listen on its ports: the case can't run", label);
+          System.exit(2);
+        }
         if (!killed) {
           endedByItself++;
           String why = lastError();
@@ -1170,10 +1220,11 @@
   /** Returns a submission of the form that the page shows. */
   ObjectNode job(String id, int tasks, double cpus, double seconds, List<String> prereqs) {
     runS.put(id, seconds);
+    this.cpus.put(id, cpus);
     ObjectNode job = JSON.createObjectNode();
     job.put("nameId", id).put("jobclass", "stem-split").put("owner", site.team);
     job.put("shape", "array").put("urgency", "low").put("pieces", tasks).put("cpus", cpus);
-    job.put("accelerators", 0.0).put("memoryGb", 1.6).put("bundle", "img-01").put("pullGb", 1.0);
+    job.put("accelerators", 0.0).put("memoryGb", 1.6).put("bundle", "img-01").put("pullGb", IMAGE_GB);
     job.putNull("hosttypes").putNull("site").put("together", false).put("spread", false);
     job.put("loaner", true).put("guessS", seconds).put("snapshotEveryS", 0.0);
     job.put("snapshotS", 0.0).putNull("dueS");
