Cancel the dependents of a job in a loop, whatever the depth of the graph

Cause: depth of calls that users choose. DependencyGraph.cancel called JobLifecycle.onCancelled, which called DependencyGraph.onJobCancelled, which called cancel, some eight frames for each job of the chain, on a stack of 256 KiB. The same on a takeover, while the listing is handled, and for a cancellation that is found in another shard.

Evidence: the trace of the red tests repeats these frames and no others.

Change: the graph alone walks from a cancelled job to its dependents, with a queue on the heap; JobLifecycle.cancelWithDependency cancels just the one job that it is given. So the stack has the same depth for any graph. Writes of a cascade are now requested from the first job to the last; before, from the last to the first.

--- a/src/main/java/shorecrank/coordination/scheduling/DependencyGraph.java
+++ b/src/main/java/shorecrank/coordination/scheduling/DependencyGraph.java
@@ -39,7 +39,8 @@
    * Creates an empty graph.
    *
    * @param jobs a live view of the unfinished jobs of the shard
-   * @param cancelJob cancels a job that has a cancelled dependency
+   * @param cancelJob cancels a job that has a cancelled dependency; the graph itself goes on to the
+   *     job's dependents
    */
   public DependencyGraph(
       StepContext context,
@@ -58,7 +59,9 @@
   public void add(Job job) {
     for (JobId dependency : List.copyOf(job.scheduling().unmetDependencies())) {
       if (cancellations.isCancelled(dependency)) {
-        cancel(job);
+        if (cancel(job)) {
+          onJobCancelled(job.id());
+        }
         return;
       }
       dependents.computeIfAbsent(dependency, id -> new LinkedHashSet<>()).add(job);
@@ -118,31 +121,46 @@
   }
 
   /**
-   * Cancels the dependents of a job that is cancelled for good: its record has a committed
-   * cancellation mark, or one of its dependencies is cancelled for good.
+   * Cancels the transitive dependents of a job that is cancelled for good: its record has a
+   * committed cancellation mark, or one of its dependencies is cancelled for good. The loop takes
+   * the same stack for any depth of the graph, which users choose.
    */
   public void onJobCancelled(JobId id) {
-    Set<Job> waiting = dependents.remove(id);
-    if (waiting != null) {
-      List.copyOf(waiting).forEach(this::cancel);
+    ArrayDeque<JobId> pending = new ArrayDeque<>(List.of(id));
+    while (!pending.isEmpty()) {
+      for (Job job : removeDependents(pending.poll())) {
+        if (cancel(job)) {
+          pending.add(job.id());
+        }
+      }
     }
   }
 
+  private Set<Job> removeDependents(JobId id) {
+    Set<Job> waiting = dependents.remove(id);
+    return waiting == null ? Set.of() : waiting;
+  }
+
   private void onCancelledElsewhere(JobId id) {
     cancellations.recordCancelled(id);
     onJobCancelled(id);
   }
 
-  private void cancel(Job job) {
+  /**
+   * Cancels a job that has a cancelled dependency, but not its dependents.
+   *
+   * @return false if the job was already cancelled
+   */
+  private boolean cancel(Job job) {
     if (job.isCancelled()) {
-      return;
+      return false;
     }
     // The dependencies of a job never change, so a job with a cancelled dependency is cancelled for
     // good, like one whose record has a committed cancellation mark.
     cancellations.recordCancelled(job.id());
     cancelJob.accept(job);
     urgency.invalidate();
-    onJobCancelled(job.id());
+    return true;
   }
 
   /** Sends lookups of dependencies whose state is not known, a few at a time. */
--- a/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
+++ b/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
@@ -137,18 +137,23 @@
    */
   @Override
   public void onCancelled(Job job) {
+    cancel(job);
+    dependencies.onJobCancelled(job.id());
+  }
+
+  private void cancel(Job job) {
     job.cancel();
     jobs.detachUncommitted(job);
     context.info("job.cancelled job=%s", job.id());
-    dependencies.onJobCancelled(job.id());
   }
 
   /**
    * Cancels a job because one that it depends on is cancelled. None of its tasks has been placed,
-   * since a job's tasks are placed only once all its dependencies are done.
+   * since a job's tasks are placed only once all its dependencies are done. The dependency graph
+   * calls this for each of the job's dependents too.
    */
   void cancelWithDependency(Job job) {
-    onCancelled(job);
+    cancel(job);
     job.requestWrite(WriteUrgency.NOW, context.now());
   }
 
--- a/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
+++ b/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
@@ -19,6 +19,7 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.JobBuilder;
 import shorecrank.coordination.model.StepContextBuilder;
+import shorecrank.coordination.step.DeployedStack;
 import shorecrank.coordination.step.Input;
 import shorecrank.coordination.step.Output;
 import shorecrank.coordination.step.StepContext;
@@ -29,6 +30,8 @@
 
 /** Tests how the end or cancellation of a job affects the jobs that depend on it. */
 class DependencyGraphTest {
+  private static final int LONG_CHAIN = 20_000;
+
   private final StepContext context = new StepContextBuilder().build();
   private final CancellationLog cancellations = new CancellationLog(context, id -> {}, owner -> {});
   private final Map<JobId, Job> jobs = new TreeMap<>();
@@ -244,7 +247,8 @@
     assertTrue(graph.areDependenciesUncancelled(first), "no dependencies");
     assertTrue(graph.areDependenciesUncancelled(third), "direct and transitive ones");
     assertFalse(graph.areDependenciesUncancelled(other), "another shard's");
-    assertFalse(graph.areDependenciesUncancelled(afterOther), "another shard's, transitively");
+    assertFalse(
+        graph.areDependenciesUncancelled(afterOther), "another shard's, transitively");
     second.cancel();
     assertFalse(graph.areDependenciesUncancelled(third), "a cancelled one");
   }
@@ -260,4 +264,21 @@
     Job behindMissing = add(job(1001).dependsOn(300, 1000));
     assertFalse(graph.areDependenciesUncancelled(behindMissing));
   }
+
+  // ---- depth -----------------------------------------------------------------------------------
+
+  /** Adds a chain in which each job depends on the one before it, and the first on job 0. */
+  private void addChain(int jobsInChain) {
+    for (int number = 1; number <= jobsInChain; number++) {
+      add(job(number).dependsOn(number - 1));
+    }
+  }
+
+  @Test
+  void aCancellationInAnotherShardDoesNotOverflowTheStack() {
+    addChain(LONG_CHAIN);
+    graph.tick();
+    DeployedStack.run(() -> answer(200, Json.object().put("x", true)));
+    assertEquals(LONG_CHAIN, cancelled.size());
+  }
 }
--- a/src/test/java/shorecrank/coordination/step/StepDriver.java
+++ b/src/test/java/shorecrank/coordination/step/StepDriver.java
@@ -31,11 +31,21 @@
   public static final Settings SETTINGS =
       new Settings(1, 6000, 2000, 8000, 60_000, 3000, 4, 100, 20, 50, 300, 300, 120);
 
-  private final StepContext context = new StepContext(CONFIG, SETTINGS, new WriterId("n1.1"));
+  private final StepContext context;
   private final List<Output.Call> calls = new ArrayList<>();
   private final List<Output.Reply> replies = new ArrayList<>();
   private long nowMs;
 
+  /** Creates a driver with one shard. */
+  public StepDriver() {
+    this(SETTINGS);
+  }
+
+  /** Creates a driver with the given settings. */
+  public StepDriver(Settings settings) {
+    context = new StepContext(CONFIG, settings, new WriterId("n1.1"));
+  }
+
   private static NodeConfig config() {
     Address nowhere = new Address("127.0.0.1", 1);
     return new NodeConfig(
