Look up dependencies in a loop when their results are cached

Cause: a callback that may run before its method returns. JobLookup.find calls back at once if the final record is cached; DependencyAdmission then started the next lookup from within the callback, seven frames for each name. DependencySearch in JobLookup did the same: a waiting job with many dependencies whose final records are cached ends the controller that is asked about it, or that gets a submission that names it.

Evidence: the traces of the two red tests repeat startLookups, find, findRecord, onLookupResult, onFound, and searchNext, findRecord, onRead.

Change: Trampoline, one place that repeats an action in a loop whether it is asked to in a later callback or in one that runs at once. Both searches use it, and find says when it calls back at once.

--- a/src/main/java/shorecrank/coordination/request/DependencyAdmission.java
+++ b/src/main/java/shorecrank/coordination/request/DependencyAdmission.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import shorecrank.coordination.step.StepContext;
+import shorecrank.coordination.step.Trampoline;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.UserMessages.JobState;
@@ -68,13 +69,17 @@
    *     dependencies are cached
    */
   void check(List<JobId> dependencies, Consumer<Result> callback) {
-    new Check(dependencies, callback).startLookups();
+    new Check(dependencies, callback).lookups.run();
   }
 
   /** The check of one submission's dependencies. */
   private final class Check {
     private final ArrayDeque<JobId> remaining;
     private final Consumer<Result> callback;
+
+    /** Starts lookups again after each result, also if that was cached and came at once. */
+    private final Trampoline lookups = new Trampoline(this::startLookups);
+
     private int inFlight;
     private boolean hasCancelled;
     private boolean isFinished;
@@ -84,7 +89,7 @@
       this.callback = callback;
     }
 
-    void startLookups() {
+    private void startLookups() {
       while (!isFinished && inFlight < MAX_PARALLEL_LOOKUPS && !remaining.isEmpty()) {
         JobId id = remaining.poll();
         if (wasSeenUnfinishedRecently(id)) {
@@ -124,7 +129,7 @@
       } else if (state != JobState.DONE) {
         lastSeenUnfinished.put(id, context.now());
       }
-      startLookups();
+      lookups.run();
     }
 
     private void finish(Result result) {
--- a/src/main/java/shorecrank/coordination/request/JobLookup.java
+++ b/src/main/java/shorecrank/coordination/request/JobLookup.java
@@ -12,6 +12,7 @@
 import shorecrank.coordination.request.StoredJob.Finished;
 import shorecrank.coordination.request.StoredJob.Unfinished;
 import shorecrank.coordination.step.StepContext;
+import shorecrank.coordination.step.Trampoline;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.ShardId;
 import shorecrank.protocol.JobSpec;
@@ -76,9 +77,10 @@
   }
 
   /**
-   * Looks up a job. Reads the live record first, then the final one: one transaction deletes the
-   * live record of a job that ends and writes the final one, so a job that has neither was not
-   * accepted when the lookup began.
+   * Looks up a job; the callback runs before this method returns if the job's final record is
+   * cached. Reads the live record first, then the final one: one transaction deletes the live
+   * record of a job that ends and writes the final one, so a job that has neither was not accepted
+   * when the lookup began.
    */
   void find(JobId id, Consumer<LookupResult> callback) {
     findRecord(
@@ -87,7 +89,7 @@
           if (result instanceof LookupResult.Found found
               && found.job() instanceof Unfinished waiting
               && waiting.mayWaitForDependencies()) {
-            new DependencySearch(waiting, callback).searchNext();
+            new DependencySearch(waiting, callback).search.run();
           } else {
             callback.accept(result);
           }
@@ -162,6 +164,9 @@
     private final Set<JobId> visited;
     private final Consumer<LookupResult> callback;
 
+    /** Continues after each record, also if that was cached and came at once. */
+    private final Trampoline search = new Trampoline(this::searchNext);
+
     DependencySearch(Unfinished waiting, Consumer<LookupResult> callback) {
       this.waiting = waiting;
       this.pending = new ArrayDeque<>(waiting.record().spec().dependencies());
@@ -169,7 +174,7 @@
       this.callback = callback;
     }
 
-    void searchNext() {
+    private void searchNext() {
       JobId id = pending.poll();
       if (id == null) {
         callback.accept(new LookupResult.Found(waiting));
@@ -195,7 +200,7 @@
           needed.record().spec().dependencies().stream().filter(visited::add).forEach(pending::add);
         }
       }
-      searchNext();
+      search.run();
     }
 
     private void finishCancelled() {
--- a/src/test/java/shorecrank/coordination/request/JobLookupTest.java
+++ b/src/test/java/shorecrank/coordination/request/JobLookupTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import shorecrank.coordination.model.CancellationLog;
 import shorecrank.coordination.request.DependencyAdmission.Result;
+import shorecrank.coordination.step.DeployedStack;
 import shorecrank.coordination.step.StepDriver;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.JobId;
@@ -152,4 +153,31 @@
     driver.now(() -> admission.check(dependencies, result -> {}));
     assertEquals(8, driver.openCalls().size());
   }
+
+  @Test
+  void dependenciesThatAreAllCachedDoNotOverflowTheStack() {
+    List<JobId> dependencies = cachedAsDone(JobSpec.MAX_DEPENDENCIES);
+    List<Result> checks = new ArrayList<>();
+    DependencyAdmission admission = new DependencyAdmission(driver.context(), lookup);
+    DeployedStack.run(() -> driver.now(() -> admission.check(dependencies, checks::add)));
+    assertEquals(List.of(new Result.Accepted(false)), checks);
+  }
+
+  @Test
+  void aSearchOfCachedDependenciesDoesNotOverflowTheStack() {
+    JobId[] dependencies = cachedAsDone(JobSpec.MAX_DEPENDENCIES).toArray(JobId[]::new);
+    driver.now(() -> lookup.find(JOB, results::add));
+    DeployedStack.run(() -> driver.answer(200, record(JOB, false, dependencies)));
+    assertEquals(JobState.QUEUED, foundState());
+  }
+
+  private List<JobId> cachedAsDone(int jobs) {
+    List<JobId> ids = new ArrayList<>();
+    for (int number = 0; number < jobs; number++) {
+      JobId id = new JobId("wk-" + (1000 + number));
+      lookup.cacheDone(id, 1);
+      ids.add(id);
+    }
+    return ids;
+  }
 }
