Compute inherited priorities and deadlines without recursion

A pipeline that merely waits ends the owner of its shard, and each owner after it, as soon as there is a free machine and two jobs wait: the order of placement needs the inherited urgency of each job, and InheritedUrgency.Traversal.urgency called itself for each dependent.

Evidence: theUrgencyOfALongChainDoesNotOverflowTheStack failed before with StackOverflowError on a stack of 256 KiB, with one frame repeated, for a chain of 20,000 jobs.

Change: the traversal keeps its path on the heap, and computes a job once its dependents are done, as before. A cycle is still logged once, and a job of the cycle still counts with its own priority and no deadlines.

--- a/src/main/java/shorecrank/coordination/scheduling/InheritedUrgency.java
+++ b/src/main/java/shorecrank/coordination/scheduling/InheritedUrgency.java
@@ -1,9 +1,11 @@
 package shorecrank.coordination.scheduling;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,7 +75,7 @@
     for (JobId dependency : List.copyOf(dependents.keySet())) {
       Job job = jobs.get(dependency);
       if (job != null) {
-        traversal.urgency(job);
+        traversal.visitFrom(job);
       }
     }
     jobs.values().forEach(job -> job.scheduling().setPriority(priority(job)));
@@ -90,54 +92,82 @@
     return urgency == null ? List.of() : urgency.deadlines;
   }
 
-  /** A depth-first traversal of the dependency graph, from jobs to their dependents. */
+  /** A job on the current path of a traversal, and its dependents that are still to be visited. */
+  private record Visit(Job job, Iterator<Job> unvisited) {}
+
+  /**
+   * A depth-first traversal of the dependency graph, from jobs to their dependents. It keeps its
+   * path on the heap, since users choose the depth of the graph.
+   */
   private final class Traversal {
     private final Function<Job, List<Deadline>> ownDeadlines;
     private final ToDoubleFunction<Job> durationMs;
 
-    /** The jobs from the start of the traversal to the current one; detects cycles. */
-    private final Set<Job> path = new HashSet<>();
+    /** The jobs from the start of the traversal to the current one. */
+    private final ArrayDeque<Visit> path = new ArrayDeque<>();
+
+    /** The jobs of {@link #path}; detects cycles. */
+    private final Set<Job> onPath = new HashSet<>();
 
     Traversal(Function<Job, List<Deadline>> ownDeadlines, ToDoubleFunction<Job> durationMs) {
       this.ownDeadlines = ownDeadlines;
       this.durationMs = durationMs;
     }
 
-    /**
-     * Returns the urgency that a job inherits. A deadline of a dependent is moved earlier by the
-     * time that the dependent takes, at each step along the chain.
-     */
-    Urgency urgency(Job job) {
-      Urgency computed = urgencies.get(job);
-      if (computed != null) {
-        return computed;
+    /** Computes the urgency of a job and its transitive dependents, the dependents first. */
+    void visitFrom(Job start) {
+      begin(start);
+      while (!path.isEmpty()) {
+        Visit current = path.peekLast();
+        if (current.unvisited.hasNext()) {
+          begin(current.unvisited.next());
+        } else {
+          path.removeLast();
+          onPath.remove(current.job);
+          urgencies.put(current.job, inheritedUrgency(current.job));
+        }
       }
-      if (!path.add(job)) {
+    }
+
+    private void begin(Job job) {
+      if (urgencies.containsKey(job)) {
+        return;
+      }
+      if (onPath.add(job)) {
+        path.addLast(new Visit(job, dependentsOf(job).iterator()));
+      } else {
         logCycle(job);
-        return new Urgency(job.spec().priority(), List.of());
       }
+    }
+
+    private Set<Job> dependentsOf(Job job) {
+      return dependents.getOrDefault(job.id(), Set.of());
+    }
+
+    /**
+     * Returns the urgency that a job inherits from its dependents, whose own are computed. A
+     * deadline of a dependent is moved earlier by the time that the dependent takes, at each step
+     * along the chain.
+     */
+    private Urgency inheritedUrgency(Job job) {
       Priority highest = job.spec().priority();
       List<Deadline> deadlines = new ArrayList<>();
-      for (Job dependent : dependents.getOrDefault(job.id(), Set.of())) {
-        Urgency dependentUrgency = urgency(dependent);
-        highest =
-            dependentUrgency.priority.compareTo(highest) < 0 ? dependentUrgency.priority : highest;
-        addDeadlines(dependent, dependentUrgency, deadlines);
+      for (Job dependent : dependentsOf(job)) {
+        Priority priority = priority(dependent);
+        highest = priority.compareTo(highest) < 0 ? priority : highest;
+        addDeadlines(dependent, deadlines);
       }
-      path.remove(job);
       deadlines.sort(Comparator.comparingDouble(Deadline::atMs));
       int kept = Math.min(MAX_DEADLINES, deadlines.size());
-      Urgency urgency = new Urgency(highest, List.copyOf(deadlines.subList(0, kept)));
-      urgencies.put(job, urgency);
-      return urgency;
+      return new Urgency(highest, List.copyOf(deadlines.subList(0, kept)));
     }
 
-    private void addDeadlines(Job dependent, Urgency dependentUrgency, List<Deadline> deadlines) {
+    private void addDeadlines(Job dependent, List<Deadline> deadlines) {
       double duration = durationMs.applyAsDouble(dependent);
       for (Deadline own : ownDeadlines.apply(dependent)) {
         deadlines.add(new Deadline(own.atMs() - duration, own.jobClass()));
       }
-      for (Deadline inherited : dependentUrgency.deadlines) {
+      for (Deadline inherited : deadlines(dependent)) {
         deadlines.add(new Deadline(inherited.atMs() - duration, inherited.jobClass()));
       }
     }
--- a/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
+++ b/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
@@ -25,6 +25,7 @@
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.MonotonicTime;
+import shorecrank.protocol.JobSpec.Priority;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.UserMessages.JobState;
 
@@ -281,4 +282,12 @@
     DeployedStack.run(() -> answer(200, Json.object().put("x", true)));
     assertEquals(LONG_CHAIN, cancelled.size());
   }
+
+  @Test
+  void theUrgencyOfALongChainDoesNotOverflowTheStack() {
+    addChain(LONG_CHAIN);
+    add(job(LONG_CHAIN + 1).dependsOn(LONG_CHAIN).priority(Priority.PROD));
+    DeployedStack.run(() -> graph.updateUrgency(job -> List.of(), job -> 10));
+    assertEquals(Priority.PROD, jobs.get(id(1)).scheduling().priority());
+  }
 }
