Check the dependencies of all queried jobs in one traversal

An owner that answers a batch of status queries followed the whole chain of each queried job anew.

Change: DependencyCheck, which serves one batch. What is found for one job is kept for the others: the jobs whose dependencies are all known and uncancelled, and, from the first one on that is not, all jobs behind an unknown or cancelled one.

answersAboutALongChainDoNotDelayTheRenewalOfLeases asks about 5,000 jobs and allows one interval of heartbeats to the leader, 2 s. The tests of areDependenciesUncancelled call it on a check; their assertions are the same.

--- a/src/main/java/shorecrank/coordination/scheduling/DependencyGraph.java
+++ b/src/main/java/shorecrank/coordination/scheduling/DependencyGraph.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -168,25 +167,9 @@
     lookups.tick(dependents::containsKey);
   }
 
-  /**
-   * Reports whether no transitive unmet dependency of the job can be cancelled without this graph
-   * knowing: all of them are unfinished jobs of this shard, and none of them is cancelled.
-   */
-  public boolean areDependenciesUncancelled(Job job) {
-    Set<JobId> visited = new HashSet<>();
-    ArrayDeque<Job> pending = new ArrayDeque<>(List.of(job));
-    while (!pending.isEmpty()) {
-      for (JobId id : pending.poll().scheduling().unmetDependencies()) {
-        Job dependency = jobs.get(id);
-        if (dependency == null || dependency.isCancelled()) {
-          return false;
-        }
-        if (visited.add(id)) {
-          pending.add(dependency);
-        }
-      }
-    }
-    return true;
+  /** Returns a check of jobs' dependencies, valid until the graph or a job changes. */
+  public DependencyCheck newCheck() {
+    return new DependencyCheck(jobs, dependents);
   }
 
   /**
--- a/src/main/java/shorecrank/coordination/shard/StatusQueries.java
+++ b/src/main/java/shorecrank/coordination/shard/StatusQueries.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import shorecrank.coordination.model.Job;
+import shorecrank.coordination.scheduling.DependencyCheck;
 import shorecrank.coordination.scheduling.DependencyGraph;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
@@ -200,7 +201,8 @@
         isComplete -> {
           isReading = false;
           if (isComplete) {
-            batch.forEach((id, query) -> answer(id, query, sent));
+            DependencyCheck check = dependencies.newCheck();
+            batch.forEach((id, query) -> answer(id, query, sent, check));
           } else {
             handleNoAnswer(batch);
           }
@@ -212,8 +214,10 @@
    * Answers a query from memory.
    *
    * @param readSentAt when the read was sent whose changes were applied last
+   * @param check the check of the dependencies of all jobs that this read answers for
    */
-  private void answer(JobId id, PendingQuery query, MonotonicTime readSentAt) {
+  private void answer(
+      JobId id, PendingQuery query, MonotonicTime readSentAt, DependencyCheck check) {
     if (readSentAt.isBefore(query.addedAt())) {
       context.reportError("status.read.too_old", "status.read.too_old job=" + id);
       refuse(query.callbacks(), Refusal.NO_ANSWER);
@@ -226,17 +230,17 @@
     } else if (job == null) {
       refuse(query.callbacks(), Refusal.UNKNOWN_JOB);
     } else {
-      answerUnfinished(job, query);
+      answerUnfinished(job, query, check);
     }
   }
 
-  private void answerUnfinished(Job job, PendingQuery query) {
+  private void answerUnfinished(Job job, PendingQuery query, DependencyCheck check) {
     Optional<JobStatus> status = job.record().latestStatus();
     if (status.isEmpty()) {
       refuse(query.callbacks(), Refusal.RECORD_GONE);
     } else if (job.isCancelled()) {
       query.complete(Optional.of(new JobStatus(JobState.CANCELLED, status.get().done(), 0)));
-    } else if (dependencies.areDependenciesUncancelled(job)) {
+    } else if (check.areDependenciesUncancelled(job)) {
       context.count("status.answered");
       query.complete(status);
     } else {
--- a/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
+++ b/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
@@ -245,13 +245,13 @@
     Job third = add(job(3).dependsOn(2, 1));
     Job other = add(job(4).dependsOn(3, 99));
     Job afterOther = add(job(5).dependsOn(4));
-    assertTrue(graph.areDependenciesUncancelled(first), "no dependencies");
-    assertTrue(graph.areDependenciesUncancelled(third), "direct and transitive ones");
-    assertFalse(graph.areDependenciesUncancelled(other), "another shard's");
+    assertTrue(graph.newCheck().areDependenciesUncancelled(first), "no dependencies");
+    assertTrue(graph.newCheck().areDependenciesUncancelled(third), "direct and transitive ones");
+    assertFalse(graph.newCheck().areDependenciesUncancelled(other), "another shard's");
     assertFalse(
-        graph.areDependenciesUncancelled(afterOther), "another shard's, transitively");
+        graph.newCheck().areDependenciesUncancelled(afterOther), "another shard's, transitively");
     second.cancel();
-    assertFalse(graph.areDependenciesUncancelled(third), "a cancelled one");
+    assertFalse(graph.newCheck().areDependenciesUncancelled(third), "a cancelled one");
   }
 
   @Test
@@ -260,10 +260,10 @@
     for (int number = 2; number <= 300; number++) {
       last = add(job(number).dependsOn(number - 1));
     }
-    assertTrue(graph.areDependenciesUncancelled(last));
+    assertTrue(graph.newCheck().areDependenciesUncancelled(last));
     add(job(1000).dependsOn(999));
     Job behindMissing = add(job(1001).dependsOn(300, 1000));
-    assertFalse(graph.areDependenciesUncancelled(behindMissing));
+    assertFalse(graph.newCheck().areDependenciesUncancelled(behindMissing));
   }
 
   // ---- depth -----------------------------------------------------------------------------------
--- a/src/test/java/shorecrank/coordination/shard/StatusQueriesTest.java
+++ b/src/test/java/shorecrank/coordination/shard/StatusQueriesTest.java
@@ -1,13 +1,18 @@
 package shorecrank.coordination.shard;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import shorecrank.coordination.model.CancellationLog;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.JobBuilder;
@@ -29,6 +34,7 @@
 class StatusQueriesTest {
   private static final Epoch EPOCH = new Epoch(5);
   private static final long LISTED_REVISION = 10;
+  private static final int LONG_CHAIN = 5000;
   private static final JobStatus QUEUED = new JobStatus(JobState.QUEUED, 0, 0);
 
   private final StepDriver driver = new StepDriver();
@@ -109,6 +115,25 @@
     answers.forEach(answer -> assertEquals(Optional.of(QUEUED), answer));
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void answersAboutALongChainDoNotDelayTheRenewalOfLeases(boolean isFirstOfOtherShard) {
+    for (int number = 1; number <= LONG_CHAIN; number++) {
+      boolean isFirst = number == 1 && !isFirstOfOtherShard;
+      add(isFirst ? JobBuilder.job(1) : JobBuilder.job(number).dependsOn(number - 1));
+    }
+    for (int number = 1; number <= LONG_CHAIN; number++) {
+      ask(number);
+    }
+    runRound();
+    driver.openCalls().removeIf(call -> !call.path().startsWith("/changes"));
+    assertTimeout(
+        Duration.ofMillis(StepDriver.SETTINGS.heartbeatIntervalMs()),
+        () -> driver.answer(200, changes(LISTED_REVISION)));
+    Optional<JobStatus> expected = isFirstOfOtherShard ? Optional.empty() : Optional.of(QUEUED);
+    assertEquals(Collections.nCopies(LONG_CHAIN, expected), answers);
+  }
+
   @Test
   void aQueryThatArrivesDuringAReadWaitsForTheNextOne() {
     add(JobBuilder.job(1));
