Rank jobs with due writes once a round, and test the writes of a cascade

Thousands of jobs that are cancelled in one step all have a due write, and each round sorts them as long as the write budget lasts. The rank was computed anew at each comparison.

The test plays 100 rounds after a takeover of 5,000 cancelled jobs: each transaction keeps txn_ops, all of them the write rate, and each step is shorter than an interval of heartbeats to the leader.

--- a/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
+++ b/src/main/java/shorecrank/coordination/shard/JobRecordWriter.java
@@ -75,6 +75,17 @@
     DEFERRED
   }
 
+  /** A job with a due write; the rank is kept, as sorting thousands of jobs compares it often. */
+  private record DueJob(Job job, Rank rank, MonotonicTime since) implements Comparable<DueJob> {
+    private static final Comparator<DueJob> ORDER =
+        Comparator.comparing(DueJob::rank).thenComparing(DueJob::since);
+
+    @Override
+    public int compareTo(DueJob other) {
+      return ORDER.compare(this, other);
+    }
+  }
+
   /** Receives the outcomes of writes. */
   interface Listener {
     /** Called when the final record of a job is committed. */
@@ -129,11 +140,7 @@
     if (now.isBefore(pausedUntil) || inFlight >= MAX_IN_FLIGHT) {
       return;
     }
-    List<Job> due = dueJobs(now);
-    if (due.isEmpty()) {
-      return;
-    }
-    due.sort(Comparator.comparing(this::rank).thenComparing(job -> job.record().urgentSince()));
+    List<Job> due = dueJobs(now).stream().sorted().map(DueJob::job).toList();
     int written = 0;
     while (written < due.size() && inFlight < MAX_IN_FLIGHT) {
       boolean dense = gate.permits(Feature.DENSE_RECORDS);
@@ -152,8 +159,8 @@
     }
   }
 
-  private List<Job> dueJobs(MonotonicTime now) {
-    List<Job> due = new ArrayList<>();
+  private List<DueJob> dueJobs(MonotonicTime now) {
+    List<DueJob> due = new ArrayList<>();
     Set<Job> candidates = jobs.jobsToWrite();
     context.count("round.looks", candidates.size());
     for (Iterator<Job> iterator = candidates.iterator(); iterator.hasNext(); ) {
@@ -165,7 +172,7 @@
           && (urgency == WriteUrgency.NOW
               || job.isReadyForFinalRecord()
               || now.since(job.record().urgentSince()) >= context.settings().completionDelayMs())) {
-        due.add(job);
+        due.add(new DueJob(job, rank(job), job.record().urgentSince()));
       }
     }
     return due;
--- a/src/test/java/shorecrank/coordination/shard/CancelledPipelineTest.java
+++ b/src/test/java/shorecrank/coordination/shard/CancelledPipelineTest.java
@@ -1,13 +1,16 @@
 package shorecrank.coordination.shard;
 
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.IntUnaryOperator;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -15,6 +18,8 @@
 import shorecrank.coordination.model.CancellationLog;
 import shorecrank.coordination.model.JobBuilder;
 import shorecrank.coordination.step.DeployedStack;
+import shorecrank.coordination.step.Input;
+import shorecrank.coordination.step.Output;
 import shorecrank.coordination.step.StepDriver;
 import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.JobId;
@@ -29,6 +34,8 @@
   private static final int JOBS = 5000;
   private static final int FIRST_NUMBER = 100_000;
   private static final int PAGE_ENTRIES = 200;
+  private static final int ROUNDS = 100;
+  private static final int ROUND_MS = 50;
   private static final int COPRIME_STEP = 2713;
   private static final String TEAM = "vision";
   private static final Epoch EPOCH = new Epoch(5);
@@ -134,4 +141,34 @@
           assertAllCancelled(order);
         });
   }
+
+  @Test
+  void theWritesOfACancelledPipelineKeepTheLimitsAndDoNotDelayTheRenewalOfLeases() {
+    acquire(1);
+    list(IdOrder.RISING, true);
+    int written = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+      runTimed(() -> driver.after(ROUND_MS, () -> owner.runRound(() -> false)));
+      for (Output.Call call : List.copyOf(driver.openCalls())) {
+        if (call.body() != null) {
+          int operations = call.body().path("apply").size();
+          assertTrue(operations <= StepDriver.CONFIG.state().txnOps(), "operations: " + operations);
+          written += operations;
+          driver.openCalls().remove(call);
+          runTimed(() -> commit(call));
+        }
+      }
+    }
+    double limit = StepDriver.CONFIG.state().writeRps() * (ROUNDS * ROUND_MS / 1000 + 1);
+    assertTrue(written > 0 && written <= limit, "operations: " + written);
+  }
+
+  private void runTimed(Runnable step) {
+    assertTimeout(Duration.ofMillis(StepDriver.SETTINGS.heartbeatIntervalMs()), step::run);
+  }
+
+  private void commit(Output.Call call) {
+    ObjectNode committed = Json.object().put("ledgerRev", 20);
+    driver.now(() -> driver.context().handleAnswer(new Input.Answer(call.call(), 200, committed)));
+  }
 }
