Compute what a job passes on to its dependencies once, and pause after large graphs

Each change of the graph recomputed the inherited urgency of all jobs in the next round, and each dependency its dependent's deadlines and duration anew.

Change: a job's deadlines, less its duration, are computed once and passed to all its dependencies; the four earliest are kept while they are read, without sorting.

theDurationOfAJobIsComputedOnceForAllItsDependencies failed before (500 computations for 500 names), as did updatesOfALargeGraphPauseInProportionToItsDependencies.

--- a/src/main/java/shorecrank/coordination/scheduling/InheritedUrgency.java
+++ b/src/main/java/shorecrank/coordination/scheduling/InheritedUrgency.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -14,6 +13,7 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.MonotonicTime;
 import shorecrank.protocol.JobSpec.Priority;
 
 /** Computes the priorities and deadlines that jobs inherit from their dependents. */
@@ -21,14 +21,27 @@
   /** Upper bound of the inherited deadlines of one job; the earliest are kept. */
   private static final int MAX_DEADLINES = 4;
 
-  /** The priority and the deadlines that a job has through its dependents, earliest first. */
-  private record Urgency(Priority priority, List<Deadline> deadlines) {}
+  /**
+   * After an update, the next one is due once a millisecond has passed for so many dependencies, so
+   * that a graph of any size leaves most of the processor time to other work.
+   */
+  private static final int DEPENDENCIES_PER_PAUSE_MS = 20;
+
+  /**
+   * What a job inherits from its dependents.
+   *
+   * @param priority the highest priority of the job and its transitive dependents
+   * @param deadlines the deadlines that the job inherits, earliest first
+   * @param passedOn the deadlines that the job's dependencies inherit from it, earliest first
+   */
+  private record Urgency(Priority priority, List<Deadline> deadlines, List<Deadline> passedOn) {}
 
   private final StepContext context;
   private final Map<JobId, Job> jobs;
   private final Map<JobId, Set<Job>> dependents;
   private final Map<Job, Urgency> urgencies = new HashMap<>();
   private boolean outdated;
+  private MonotonicTime nextUpdateAt = MonotonicTime.NEVER;
   private boolean cycleLogged;
 
   /**
@@ -60,13 +73,14 @@
 
   /**
    * Sets the priority of each job to the highest of its own and its transitive dependents', and
-   * computes the inherited deadlines. Does nothing if the graph has not changed.
+   * computes the inherited deadlines. Does nothing if the graph has not changed, or too soon after
+   * the last update of a large graph.
    *
    * @param ownDeadlines returns the deadlines of a job without the inherited ones
    * @param durationMs returns the milliseconds that a job takes once it is ready
    */
   void update(Function<Job, List<Deadline>> ownDeadlines, ToDoubleFunction<Job> durationMs) {
-    if (!outdated) {
+    if (!outdated || context.now().isBefore(nextUpdateAt)) {
       return;
     }
     outdated = false;
@@ -79,6 +93,7 @@
       }
     }
     jobs.values().forEach(job -> job.scheduling().setPriority(priority(job)));
+    nextUpdateAt = context.now().plus(traversal.dependencies / DEPENDENCIES_PER_PAUSE_MS);
   }
 
   private Priority priority(Job job) {
@@ -109,6 +124,9 @@
     /** The jobs of {@link #path}; detects cycles. */
     private final Set<Job> onPath = new HashSet<>();
 
+    /** The number of dependencies that were followed. */
+    private long dependencies;
+
     Traversal(Function<Job, List<Deadline>> ownDeadlines, ToDoubleFunction<Job> durationMs) {
       this.ownDeadlines = ownDeadlines;
       this.durationMs = durationMs;
@@ -144,32 +162,57 @@
       return dependents.getOrDefault(job.id(), Set.of());
     }
 
-    /**
-     * Returns the urgency that a job inherits from its dependents, whose own are computed. A
-     * deadline of a dependent is moved earlier by the time that the dependent takes, at each step
-     * along the chain.
-     */
+    /** Returns the urgency that a job inherits from its dependents, whose own are computed. */
     private Urgency inheritedUrgency(Job job) {
       Priority highest = job.spec().priority();
-      List<Deadline> deadlines = new ArrayList<>();
+      List<Deadline> deadlines = new ArrayList<>(MAX_DEADLINES + 1);
       for (Job dependent : dependentsOf(job)) {
-        Priority priority = priority(dependent);
-        highest = priority.compareTo(highest) < 0 ? priority : highest;
-        addDeadlines(dependent, deadlines);
+        dependencies++;
+        Urgency inherited = computedUrgency(dependent);
+        highest = inherited.priority.compareTo(highest) < 0 ? inherited.priority : highest;
+        inherited.passedOn.forEach(deadline -> keepEarliest(deadlines, deadline));
       }
-      deadlines.sort(Comparator.comparingDouble(Deadline::atMs));
-      int kept = Math.min(MAX_DEADLINES, deadlines.size());
-      return new Urgency(highest, List.copyOf(deadlines.subList(0, kept)));
+      return new Urgency(highest, deadlines, passedOn(job, deadlines));
     }
 
-    private void addDeadlines(Job dependent, List<Deadline> deadlines) {
-      double duration = durationMs.applyAsDouble(dependent);
-      for (Deadline own : ownDeadlines.apply(dependent)) {
-        deadlines.add(new Deadline(own.atMs() - duration, own.jobClass()));
+    private Urgency computedUrgency(Job dependent) {
+      Urgency computed = urgencies.get(dependent);
+      if (computed != null) {
+        return computed;
       }
-      for (Deadline inherited : deadlines(dependent)) {
-        deadlines.add(new Deadline(inherited.atMs() - duration, inherited.jobClass()));
+      // A cycle: the job counts with what is its own.
+      return new Urgency(dependent.spec().priority(), List.of(), passedOn(dependent, List.of()));
+    }
+
+    /** Returns a job's deadlines, moved earlier by the time that the job takes. */
+    private List<Deadline> passedOn(Job job, List<Deadline> inherited) {
+      List<Deadline> own = ownDeadlines.apply(job);
+      if (own.isEmpty() && inherited.isEmpty()) {
+        return List.of();
       }
+      double duration = durationMs.applyAsDouble(job);
+      List<Deadline> earliest = new ArrayList<>(MAX_DEADLINES + 1);
+      own.forEach(deadline -> keepEarliest(earliest, earlier(deadline, duration)));
+      inherited.forEach(deadline -> keepEarliest(earliest, earlier(deadline, duration)));
+      return earliest;
+    }
+  }
+
+  private static Deadline earlier(Deadline deadline, double byMs) {
+    return new Deadline(deadline.atMs() - byMs, deadline.jobClass());
+  }
+
+  /** Inserts a deadline into a sorted list of at most {@link #MAX_DEADLINES} of them. */
+  private static void keepEarliest(List<Deadline> earliest, Deadline deadline) {
+    int index = earliest.size();
+    while (index > 0 && earliest.get(index - 1).atMs() > deadline.atMs()) {
+      index--;
+    }
+    if (index < MAX_DEADLINES) {
+      earliest.add(index, deadline);
+    }
+    if (earliest.size() > MAX_DEADLINES) {
+      earliest.remove(MAX_DEADLINES);
     }
   }
 
--- a/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
+++ b/src/test/java/shorecrank/coordination/scheduling/DependencyGraphTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -290,4 +291,38 @@
     DeployedStack.run(() -> graph.updateUrgency(job -> List.of(), job -> 10));
     assertEquals(Priority.PROD, jobs.get(id(1)).scheduling().priority());
   }
+
+  @Test
+  void theDurationOfAJobIsComputedOnceForAllItsDependencies() {
+    int[] names = IntStream.range(0, 500).toArray();
+    IntStream.of(names).forEach(number -> add(job(number)));
+    add(job(1000).dependsOn(names));
+    assertEquals(1, updateUrgencyAndCountDurations(id(1000)));
+    assertEquals(List.of(80.0), times(graph.inheritedDeadlines(jobs.get(id(0)))));
+  }
+
+  @Test
+  void updatesOfALargeGraphPauseInProportionToItsDependencies() {
+    int[] names = IntStream.range(0, 1000).toArray();
+    IntStream.of(names).forEach(number -> add(job(number)));
+    add(job(2000).dependsOn(names));
+    updateUrgencyAndCountDurations(id(2000));
+    add(job(2001).dependsOn(0));
+    atMs(49);
+    assertEquals(0, updateUrgencyAndCountDurations(id(2000)), "within 50 ms");
+    atMs(50);
+    assertEquals(1, updateUrgencyAndCountDurations(id(2000)), "after 50 ms");
+  }
+
+  /** Updates the urgency with a deadline at 90 ms for one job, and returns how often it is used. */
+  private int updateUrgencyAndCountDurations(JobId late) {
+    int[] durations = new int[1];
+    graph.updateUrgency(
+        job -> job.id().equals(late) ? List.of(new Deadline(90, "report")) : List.of(),
+        job -> {
+          durations[0] += job.id().equals(late) ? 1 : 0;
+          return 10;
+        });
+    return durations[0];
+  }
 }
