Verify each queried job's dependencies even after one could not be verified

DependencyCheck took a job for verified if it was not among the transitive dependents of an unknown or cancelled job. That rests on the index of dependents alone. Now each job's own dependencies are followed too, which costs nothing more for a batch, since verified jobs are kept: a job that the index lacks is then refused, not answered. No such job is known.

--- a/src/main/java/shorecrank/coordination/scheduling/DependencyCheck.java
+++ b/src/main/java/shorecrank/coordination/scheduling/DependencyCheck.java
@@ -42,10 +42,14 @@
    * and none of them is cancelled.
    */
   public boolean areDependenciesUncancelled(Job job) {
-    if (unverifiable == null && !verify(job)) {
+    if (unverifiable != null && unverifiable.contains(job.id())) {
+      return false;
+    }
+    boolean isVerified = verify(job);
+    if (!isVerified && unverifiable == null) {
       unverifiable = findUnverifiable();
     }
-    return unverifiable == null || !unverifiable.contains(job.id());
+    return isVerified;
   }
 
   /** Examines the dependencies of a job that are not verified yet; stops at the first bad one. */
