--- a/src/test/java/shorecrank/coordination/shard/CancelledPipelineTest.java
+++ b/src/test/java/shorecrank/coordination/shard/CancelledPipelineTest.java
@@ -52,6 +52,7 @@
       this.offset = offset;
     }
 
+    /** Returns the number of the job at a position from 0 for the first job of the pipeline. */
     int number(int position) {
       return FIRST_NUMBER + offset.applyAsInt(position);
     }
