Show a job that waits after a crash of the leader

A machine that the next leader doesn't know yet is dropped by the owner with its fencing tokens, and comes back with lower ones, which its worker refuses from then on.

Change: case 7, the leader crashes soon after the start while the cloud's interface is down. The stand-in's worker counts the answers that it drops for their token.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,9 @@
+#!/bin/bash
+# Runs case 7. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -f target/shorecrank.jar ] || [ ! -f review/target/lib-2/standin/Case7.class ]; then
+  echo "build the deploy file and run review/build-2.sh first"
+  exit 2
+fi
+exec java -Xmx1g -cp target/shorecrank.jar:review/target/lib-2 standin.Case7 review/7/record.txt
--- a/review/lib-2/Cloud.java
+++ b/review/lib-2/Cloud.java
@@ -47,6 +47,9 @@
   private final double listLagS;
   private final Server server;
   private int lastName;
+  /** Whether the cloud's interface is down. */
+  volatile boolean isDown;
+
   /** Called once a return of machines has been carried out, after its answer was sent. */
   volatile Runnable onReleased = () -> {};
 
@@ -83,6 +86,9 @@
   private Server.Answer handle(String method, String path, byte[] body)
       throws InterruptedException {
     Thread.sleep(200);
+    if (isDown) {
+      return new Server.Answer(503, Jsons.object().put("error", "trouble"));
+    }
     synchronized (this) {
       if (path.equals("/catalog")) {
         return catalog();
--- a/review/lib-2/Worker.java
+++ b/review/lib-2/Worker.java
@@ -64,6 +64,9 @@
   private double tokenChangeAt = -1e9;
   private int node = ThreadLocalRandom.current().nextInt(1000);
 
+  /** How many answers were dropped because their token was lower than one seen before. */
+  volatile int lowerTokens;
+
   /** How many answers to reports were dropped because a line was above 64 KiB. */
   volatile int oversizedAnswers;
 
@@ -120,6 +123,12 @@
     return tasks.values().stream().filter(Task::isHere).toList();
   }
 
+  /** Returns whether a task is on the machine or was completed there. */
+  synchronized boolean hasOrHad(String piece) {
+    return results.containsKey(piece)
+        || tasks.values().stream().anyMatch(task -> task.isHere() && task.piece.equals(piece));
+  }
+
   private void note(Task task, String what) {
     if (site.jobs.size() < 100 && (task.job == null || task.job.spec().path("pieces").asInt() < 200)) {
       site.record.add("%s: %s try %d %s", host.name, task.piece, task.attempt, what);
@@ -281,6 +290,10 @@
     }
     JsonNode answer = Jsons.read(bytes);
     long token = answer.path("epoch").asLong(-1);
+    if (token < epoch) {
+      lowerTokens++;
+      site.record.add("%s: answer with token %d dropped, seen %d", host.name, token, epoch);
+    }
     if (token < epoch || ofTenure != tenure) {
       return true;
     }
