Make the second review's scripts end with the right status, and case 5 fair

Without the deploy file a script hung; a jar that can't be read gave status 1.

Change: the scripts map every failure to run to 2, end their processes on TERM and when the script is killed, and take 117 s at most. The cloud has the site's capacity. Case 5 asks for machines of which the site has no more, and case 4 counts the tasks that begin.

Result: status 2 without the deploy file, with a record that can't be written and with a broken jar; no process left after TERM and KILL.

--- a/review/4/src/Case4.java
+++ b/review/4/src/Case4.java
@@ -1,9 +1,11 @@
 package standin;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Four jobs of 100,000 small tasks: does a controller end by itself? */
 public final class Case4 {
@@ -11,10 +13,11 @@
   private static final double SMALL = 0.0001;
   private static final double RESTART_S = 5;
   private static final double WATCH_S = 75;
+  private static final Set<String> BEGUN = new HashSet<>();
 
   private Case4() {}
 
-  public static void main(String[] arguments) throws IOException {
+  public static void main(String[] arguments) {
     Case.main(arguments, Deployments.frostline(), Case4::run, "rack-north", "rack-south");
   }
 
@@ -37,6 +40,10 @@
     site.record.say("controllers ended by themselves: %d times", ends);
     ObjectNode last = Site.job("wk-000009", "excursion-alert", Deployments.TEAM, 1);
     site.record.say("a further job: %s", site.submit(last.put("urgency", "urgent"), 1));
+    boolean isDone = Site.await(15, () -> site.poll("wk-000009").phase().equals("done"));
+    site.record.say("the further job is done within 15 s: %s", isDone);
+    begun(site).forEach(BEGUN::add);
+    site.record.say("tasks of the four jobs that were seen on machines: %d", BEGUN.size());
     site.record.say("job 2: %s", site.poll("wk-000002"));
     return ends == 0;
   }
@@ -48,10 +55,12 @@
     double until = Record.now() + WATCH_S;
     while (Record.now() < until) {
       Site.pause(0.1);
+      begun(site).forEach(BEGUN::add);
       for (Site.Controller controller : site.controllers) {
         if (controller.process.isAlive()) {
           continue;
         }
+        Case.require(controller.process.exitValue() != 2, "a controller could not start");
         if (endedAt.putIfAbsent(controller, Record.now()) == null) {
           ends++;
           site.record.say(
@@ -66,6 +75,15 @@
     return ends;
   }
 
+  /** Returns the tasks of the four jobs that are on machines now. */
+  private static List<String> begun(Site site) {
+    return site.cloud.hosts.values().stream()
+        .flatMap(host -> host.worker.here().stream())
+        .map(task -> task.piece)
+        .filter(piece -> piece.compareTo("wk-000002") > 0 && piece.compareTo("wk-000006") < 0)
+        .toList();
+  }
+
   private static String lastLine(Site.Controller controller) {
     String log = controller.logText().strip();
     return log.substring(log.lastIndexOf('\n') + 1);
--- a/review/5/src/Case5.java
+++ b/review/5/src/Case5.java
@@ -1,7 +1,6 @@
 package standin;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.util.List;
 
 /**
@@ -21,12 +20,12 @@
 
   private Case5() {}
 
-  public static void main(String[] arguments) throws IOException {
+  public static void main(String[] arguments) {
     Case.main(arguments, Deployments.frostline(), Case5::run, "rack-north", "rack-south");
   }
 
   private static boolean run(Site site, boolean trouble) {
-    Deployments.addFrostlineMachines(site.cloud);
+    Deployments.addFrostlineMachines(site.cloud, List.of("pod8", "pod32", "pod16"));
     site.startControllers();
     Case.require(site.awaitReady(12), "no controller serves");
     ObjectNode first = Site.job("wk-000001", "battery-audit", Deployments.TEAM, 200);
@@ -48,8 +47,9 @@
     site.cloud.isDown = false;
     site.record.say("all troubles are over");
     ObjectNode job = Site.job(JOB, "excursion-alert", Deployments.TEAM, PIECES);
-    job.put("urgency", "urgent").put("cpus", CPUS).put("memoryGb", 14.0).put("guessS", RUN_S);
-    job.putArray("hosttypes").add("pod16");
+    job.put("urgency", "urgent").put("cpus", CPUS).put("memoryGb", 30.0).put("guessS", RUN_S);
+    job.put("loaner", false);
+    job.putArray("hosttypes").add("pod32");
     Case.require(site.submit(job, RUN_S).status() == 201, "the job is not accepted");
     boolean held = watch(site);
     int dropped = site.cloud.hosts.values().stream().mapToInt(h -> h.worker.lowerTokens).sum();
@@ -104,7 +104,7 @@
   /** Returns the machines on which one more of the tasks fits now. */
   private static List<String> room(Site site) {
     return site.cloud.hosts.values().stream()
-        .filter(host -> host.type.sku().equals("pod16") && host.goneAt == Double.MAX_VALUE)
+        .filter(host -> host.type.sku().equals("pod32") && !host.loaner && host.goneAt == Double.MAX_VALUE)
         .filter(
             host ->
                 host.type.cpus()
--- a/review/6/src/Case6.java
+++ b/review/6/src/Case6.java
@@ -1,7 +1,6 @@
 package standin;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 
 /** A job of many small tasks: do answers to workers stay within 64 KiB a line, and does it run? */
 public final class Case6 {
@@ -11,7 +10,7 @@
 
   private Case6() {}
 
-  public static void main(String[] arguments) throws IOException {
+  public static void main(String[] arguments) {
     Case.main(arguments, Deployments.frostline(), Case6::run, "rack-north", "rack-south");
   }
 
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,17 @@
   echo "build the deploy file and run review/build-2.sh first"
   exit 2
 fi
-exec java -Xmx1g -cp target/shorecrank.jar:review/target/lib-2 standin.Case7 review/7/record.txt
+java -Xmx1g -cp target/shorecrank.jar:review/target/lib-2 standin.Case7 review/7/record.txt &
+child=$!
+trap 'kill -TERM "$child" 2>/dev/null' TERM INT HUP
+wait "$child"
+status=$?
+while kill -0 "$child" 2>/dev/null; do
+  wait "$child"
+  status=$?
+done
+case $status in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/7/src/Case7.java
+++ b/review/7/src/Case7.java
@@ -1,7 +1,6 @@
 package standin;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -20,7 +19,7 @@
 
   private Case7() {}
 
-  public static void main(String[] arguments) throws IOException {
+  public static void main(String[] arguments) {
     Case.main(
         arguments, Deployments.compas(), Case7::run, "mvd-centro", "mvd-este", "sao-sur");
   }
--- a/review/lib-2/Case.java
+++ b/review/lib-2/Case.java
@@ -1,13 +1,18 @@
 package standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
 import java.nio.file.Path;
 
-/** Runs one case and exits with its verdict: 1 if the rule was broken, 0 if it held, else 2. */
+/**
+ * Runs one case and exits with its verdict: {@link #BROKEN}, 0 if the rule held, or 2 if the case
+ * couldn't run. The script maps these, and any other status of the process, to its own.
+ */
 final class Case {
   /** After this time a case is ended as one that couldn't run. */
-  private static final double MAX_S = 118;
+  private static final double MAX_S = 117;
+
+  /** Not 1, the status of a JVM that could not start a program. */
+  private static final int BROKEN = 10;
 
   /** What a case does; returns whether the rule held. */
   interface Body {
@@ -30,34 +35,42 @@
    *
    * @param locations the zones of the controllers, of which there are three
    */
-  static void main(String[] arguments, JsonNode settings, Body body, String... locations)
-      throws IOException {
+  static void main(String[] arguments, JsonNode settings, Body body, String... locations) {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     int status = 2;
+    // Begun before anything can fail, so that no thread of a stand-in keeps the script alive.
+    Thread limit = new Thread(Case::endAfterLimit);
+    limit.setDaemon(true);
+    limit.start();
     try (Record record = new Record(Path.of(arguments[0]));
         Site site = new Site(record, settings, 3, locations)) {
-      Thread limit = new Thread(() -> endAfterLimit(record));
-      limit.setDaemon(true);
-      limit.start();
       record.say("trouble: %s", trouble ? "yes" : "no");
       try {
-        status = body.run(site, trouble) ? 0 : 1;
+        status = body.run(site, trouble) ? 0 : BROKEN;
         record.say(status == 0 ? "HELD" : "BROKEN");
       } catch (CannotRunException e) {
         record.say("could not run: %s", e.getMessage());
-      } catch (Exception e) {
-        record.say("could not run: %s", e);
       }
       for (Site.Controller controller : site.controllers) {
         record.add("log of %s:%n%s", controller.label, controller.logEnd());
       }
+    } catch (Throwable e) {
+      System.out.println("could not run: " + e);
+      status = 2;
     }
     System.exit(status);
   }
 
-  private static void endAfterLimit(Record record) {
-    Site.pause(MAX_S);
-    record.say("could not run: not over after %.0f s", MAX_S);
+  private static void endAfterLimit() {
+    long parent = ProcessHandle.current().parent().map(ProcessHandle::pid).orElse(0L);
+    while (Record.now() < MAX_S) {
+      Site.pause(0.5);
+      if (ProcessHandle.current().parent().map(ProcessHandle::pid).orElse(0L) != parent) {
+        // The script was killed: ends the controllers too.
+        System.exit(2);
+      }
+    }
+    System.out.println("could not run: not over after " + MAX_S + " s");
     System.exit(2);
   }
 
--- a/review/lib-2/Cloud.java
+++ b/review/lib-2/Cloud.java
@@ -39,7 +39,7 @@
 
   final Map<String, Type> types = new TreeMap<>();
   final ConcurrentSkipListMap<String, Host> hosts = new ConcurrentSkipListMap<>();
-  /** How many more machines can be rented, by type and zone; none where it is not named. */
+  /** How many more machines can be rented, by type, zone and kind; none where it is not named. */
   final Map<String, Integer> capacity = new HashMap<>();
   final List<JsonNode> rentals = new ArrayList<>();
   private final Map<String, List<String>> claims = new HashMap<>();
@@ -130,12 +130,12 @@
       rentals.add(request);
       String sku = request.path("hosttype").asText();
       String zone = request.path("site").asText();
-      int count =
-          Math.min(request.path("count").asInt(), capacity.getOrDefault(sku + " " + zone, 0));
+      String offer = sku + " " + zone + (request.path("loaner").asBoolean() ? " spot" : "");
+      int count = Math.min(request.path("count").asInt(), capacity.getOrDefault(offer, 0));
       if (count == 0) {
         return new Server.Answer(503, answer.put("error", "no capacity"));
       }
-      capacity.merge(sku + " " + zone, -count, Integer::sum);
+      capacity.merge(offer, -count, Integer::sum);
       names = new ArrayList<>();
       for (int i = 0; i < count; i++) {
         Type type = types.get(sku);
@@ -154,6 +154,8 @@
       site.record.add("cloud: machine %s released", name);
       host.goneAt = Record.now();
       host.worker.end();
+      String offer = host.type.sku() + " " + host.site + (host.loaner ? " spot" : "");
+      capacity.merge(offer, 1, Integer::sum);
     }
   }
 
--- a/review/lib-2/Deployments.java
+++ b/review/lib-2/Deployments.java
@@ -48,10 +48,29 @@
 
   /** Adds the machine types of the cold-chain deployment and the machines up at the start. */
   static void addFrostlineMachines(Cloud cloud) {
+    addFrostlineMachines(cloud, List.of("pod8", "pod16", "pod32"));
+  }
+
+  /**
+   * Does the same.
+   *
+   * @param order the types in the order in which their machines were created, which no page gives
+   */
+  static void addFrostlineMachines(Cloud cloud, List<String> order) {
     addFrostlineTypes(cloud);
-    addRunning(cloud, "pod8", "rack-north", 5);
-    addRunning(cloud, "pod16", "rack-north", 6);
-    addRunning(cloud, "pod32", "rack-south", 3);
+    for (String sku : order) {
+      switch (sku) {
+        case "pod8" -> addRunning(cloud, sku, "rack-north", 5);
+        case "pod16" -> addRunning(cloud, sku, "rack-north", 6);
+        default -> addRunning(cloud, sku, "rack-south", 3);
+      }
+    }
+    // "Up to about 40 machines": what is left of each type besides the 14.
+    cloud.capacity.put("pod8 rack-north", 1);
+    cloud.capacity.put("pod8 rack-north spot", 11);
+    cloud.capacity.put("pod16 rack-north", 1);
+    cloud.capacity.put("pod16 rack-north spot", 7);
+    cloud.capacity.put("pod32 rack-south spot", 6);
   }
 
   static void addRunning(Cloud cloud, String sku, String zone, int count) {
--- a/review/lib-2/Site.java
+++ b/review/lib-2/Site.java
@@ -52,6 +52,15 @@
     }
 
     void start() {
+      synchronized (Site.this) {
+        // After the end of the site, for instance on a signal, nothing is started any more.
+        if (!isClosed) {
+          startProcess();
+        }
+      }
+    }
+
+    private void startProcess() {
       try {
         Path config = folder.resolve(label + ".json");
         Files.write(config, Jsons.bytes(config(this)));
@@ -127,6 +136,7 @@
           .build();
   private final List<String> runCommand;
   private int nextController;
+  private boolean isClosed;
 
   /**
    * @param settings the settings of a deployment, as DEPLOY shows them
@@ -321,6 +331,7 @@
   /** Ends all processes that this site has started. */
   @Override
   public synchronized void close() {
+    isClosed = true;
     for (Controller controller : controllers) {
       if (controller.process != null) {
         controller.process.destroyForcibly();
