Bound the attempts of small tasks by the size of a heartbeat and the owner's memory

Cause: nothing but processors, accelerators and memory limited how many attempts an owner places on a machine. Records (few bytes, as ranges) and direct starts were not what filled the heap.

Change: the task list of a worker's heartbeat, which has at most 64 KiB, is a resource of its machine, counted in bytes (TaskListSpace). Tasks use one part in proportion to their share of the machine's other resources, so it never limits ordinary tasks. Tasks that take more of the list than of the machine, small tasks, share the other part and can't keep others off the machine. Exited tasks count until a heartbeat no longer lists them. All small tasks of a shard together are bounded by the process's memory (SmallTaskRoom). Rent, drains and the demand of a shard count small tasks with the same bounds: a small task occupies the fraction of a machine that it takes of the list, and tasks without room under the shard's limit need no machine. Small tasks do not preempt, and a task that frees next to nothing of what another one needs is not preempted for it.

--- a/src/main/java/shorecrank/coordination/model/Machine.java
+++ b/src/main/java/shorecrank/coordination/model/Machine.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import shorecrank.protocol.CloudMessages.MachineType;
 import shorecrank.protocol.CloudMessages.Offer;
@@ -38,6 +39,7 @@
   private double usedCpus;
   private double usedGpus;
   private double usedMemoryGb;
+  private final TaskListSpace taskList = new TaskListSpace();
 
   /** The shard's machines with free processors; each machine adds and removes itself. */
   private final Set<Machine> withFreeCpus;
@@ -107,10 +109,25 @@
    * @param type null if the catalog does not contain the type
    */
   public void setType(MachineType type) {
-    this.type = type;
+    if (!Objects.equals(this.type, type)) {
+      this.type = type;
+      countSmallTasks();
+    }
     updateWithFreeCpus();
   }
 
+  private void countSmallTasks() {
+    taskList.clearSmallTasks();
+    for (TaskAttempt attempt : attempts) {
+      if (!attempt.isCapacityReassigned()) {
+        taskList.useSmallTasks(attempt.job().spec(), type, 1);
+      }
+    }
+    for (UnrecordedTask task : unrecordedTasks) {
+      taskList.useSmallTasks(task.job().spec(), type, 1);
+    }
+  }
+
   private void updateWithFreeCpus() {
     if (freeCpus() > EPSILON) {
       withFreeCpus.add(this);
@@ -202,6 +219,7 @@
   void add(TaskAttempt attempt) {
     if (attempts.add(attempt)) {
       images.addTask(attempt.job().spec().image());
+      taskList.addAttempt(attempt);
       use(attempt.job().spec(), 1);
     }
   }
@@ -212,6 +230,7 @@
       return;
     }
     images.removeTask(attempt.job().spec().image());
+    taskList.removeAttempt(attempt);
     if (!attempt.isCapacityReassigned()) {
       use(attempt.job().spec(), -1);
     }
@@ -248,6 +267,7 @@
     usedCpus += sign * spec.cpus();
     usedGpus += sign * spec.gpus();
     usedMemoryGb += sign * spec.memoryGb();
+    taskList.useSmallTasks(spec, type, sign);
     updateWithFreeCpus();
   }
 
@@ -264,10 +284,21 @@
   }
 
   /**
-   * Returns the used fraction of the scarcest of processors, accelerators and memory, from 0 to 1.
+   * Returns the processors that the tasks on the machine use, or the same fraction of its
+   * processors as small tasks take of their part of the task list, if that is more.
+   */
+  public double occupiedCpus() {
+    double smallTaskCpus = type == null ? 0 : taskList.smallTaskFraction() * type.cpus();
+    return Math.max(usedCpus, smallTaskCpus);
+  }
+
+  /**
+   * Returns the used fraction of the scarcest of processors, accelerators, memory and the part of
+   * the task list for small tasks, from 0 to 1.
    */
   public double usedFraction() {
     double fraction = usedCpus / Math.max(EPSILON, type.cpus());
+    fraction = Math.max(fraction, taskList.smallTaskFraction());
     fraction = Math.max(fraction, usedMemoryGb / Math.max(EPSILON, type.memoryGb()));
     return type.gpus() > 0 ? Math.max(fraction, usedGpus / type.gpus()) : fraction;
   }
@@ -291,6 +322,7 @@
     tasks = fit(tasks, spec.cpus(), type.cpus() - usedCpus);
     tasks = fit(tasks, spec.gpus(), type.gpus() - usedGpus);
     tasks = fit(tasks, spec.memoryGb(), type.memoryGb() - usedMemoryGb);
+    tasks = Math.min(tasks, taskList.fittingTasks(spec, type));
     return (int) Math.max(0, tasks);
   }
 
@@ -298,12 +330,26 @@
     return each <= 0 ? tasks : Math.min(tasks, Math.floor(free / each + EPSILON));
   }
 
-  /** Reports whether a task of the job would fit if the given amounts were freed in addition. */
+  /**
+   * Reports whether a task of the job would fit if the given amounts were freed in addition. The
+   * space in the task list is not freed before the worker no longer lists the other tasks.
+   */
   public boolean fitsWith(JobSpec spec, double moreCpus, double moreGpus, double moreMemoryGb) {
     return type != null
         && spec.cpus() <= type.cpus() - usedCpus + moreCpus + EPSILON
         && spec.gpus() <= type.gpus() - usedGpus + moreGpus + EPSILON
-        && spec.memoryGb() <= type.memoryGb() - usedMemoryGb + moreMemoryGb + EPSILON;
+        && spec.memoryGb() <= type.memoryGb() - usedMemoryGb + moreMemoryGb + EPSILON
+        && taskList.fittingTasks(spec, type) > 0;
+  }
+
+  /** Returns the space that the machine's tasks take in its worker's heartbeats. */
+  public TaskListSpace taskList() {
+    return taskList;
+  }
+
+  /** Reports whether the job's tasks are small on this machine, see {@link TaskListSpace}. */
+  public boolean isSmallTask(JobSpec spec) {
+    return TaskListSpace.smallTaskBytes(spec, type) > 0;
   }
 
   /** Reports whether the job's constraints allow it to run on this machine when it is empty. */
--- a/src/main/java/shorecrank/coordination/scheduling/DemandEstimator.java
+++ b/src/main/java/shorecrank/coordination/scheduling/DemandEstimator.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
+import shorecrank.coordination.model.TaskListSpace;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.CloudMessages.MachineType;
 import shorecrank.protocol.JobSpec;
@@ -58,7 +59,8 @@
   /**
    * Returns the processors that a task occupies, on the machine type where they are the fewest. A
    * task that needs much of a type's memory or accelerators occupies the same fraction of its
-   * processors. If the task fits no type, returns the processors that it asks for.
+   * processors, and so does a small task that needs much of the task list. If the task fits no
+   * type, returns the processors that it asks for.
    */
   static double cpuEquivalent(JobSpec spec, Map<String, MachineType> catalog) {
     double best = Double.MAX_VALUE;
@@ -72,6 +74,7 @@
         best = Math.min(best, share * type.cpus());
       }
     }
-    return best == Double.MAX_VALUE ? spec.cpus() : best;
+    double cpus = best == Double.MAX_VALUE ? spec.cpus() : best;
+    return Math.max(cpus, TaskListSpace.occupiedCpus(spec, catalog));
   }
 }
--- a/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
+++ b/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
@@ -7,6 +7,7 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.TaskListSpace;
 import shorecrank.coordination.model.WriteUrgency;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.AttemptNumber;
@@ -28,9 +29,11 @@
    * Places as many queued tasks of a job as possible, if necessary by preempting other tasks.
    *
    * @param available the machines to choose from; machines that become full are removed
+   * @param smallTaskRoom the room that the shard's limit leaves for small tasks; reduced by those
+   *     that are placed
    */
-  void place(Job job, List<Machine> available) {
-    Placement placement = new Placement(job, available);
+  void place(Job job, List<Machine> available, SmallTaskRoom smallTaskRoom) {
+    Placement placement = new Placement(job, available, smallTaskRoom);
     placement.placeAll();
     placement.preempt();
     if (placement.hasPlaced) {
@@ -43,7 +46,8 @@
     private final Job job;
     private final JobSpec spec;
     private final List<Machine> available;
-    private final List<Machine> candidates;
+    private final SmallTaskRoom smallTaskRoom;
+    private List<Machine> candidates;
     private final Map<String, Integer> tasksByZone = new HashMap<>();
 
     /** The zone in which all tasks have to start; null for any. */
@@ -56,10 +60,11 @@
 
     private boolean hasPlaced;
 
-    Placement(Job job, List<Machine> available) {
+    Placement(Job job, List<Machine> available, SmallTaskRoom smallTaskRoom) {
       this.job = job;
       this.spec = job.spec();
       this.available = available;
+      this.smallTaskRoom = smallTaskRoom;
       this.tasksToPlace = queuedTasksToPlace();
       countTasksByZone();
       this.candidates = candidates();
@@ -118,7 +123,10 @@
           return;
         }
         int tasks = tasksFor(machine);
-        if (tasks <= 0) {
+        if (!smallTaskRoom.hasRoomFor(spec, machine)) {
+          candidates = new ArrayList<>(candidates);
+          candidates.removeIf(candidate -> !smallTaskRoom.hasRoomFor(spec, candidate));
+        } else if (tasks <= 0) {
           String fullZone = machine.info().zone();
           candidates.removeIf(candidate -> candidate.info().zone().equals(fullZone));
         } else if (!placeOn(machine, tasks)) {
@@ -141,7 +149,8 @@
     }
 
     private boolean placeOn(Machine machine, int maxTasks) {
-      int tasks = attach(machine, maxTasks);
+      double smallTaskBytes = TaskListSpace.smallTaskBytes(spec, machine.type());
+      int tasks = attach(machine, smallTaskRoom.take(maxTasks, smallTaskBytes));
       if (tasks == 0) {
         return false;
       }
--- a/src/main/java/shorecrank/coordination/scheduling/Preemption.java
+++ b/src/main/java/shorecrank/coordination/scheduling/Preemption.java
@@ -22,6 +22,9 @@
   /** The work that may be lost by preemption, as a fraction of the work of the started task. */
   private static final double MAX_LOST_WORK_RATIO = 0.5;
 
+  /** A task is only preempted if it frees more than this fraction of what the other one needs. */
+  private static final double MIN_FREED_FRACTION = 0.01;
+
   /** Lower bound of a task's estimated run, in seconds. */
   private static final double MIN_RUN_S = 1;
 
@@ -185,8 +188,13 @@
     return best;
   }
 
+  /**
+   * Reports whether a task of the job may start on the machine in place of others. Small tasks may
+   * not: they lack space in the task list, which others leave only once they were reaped.
+   */
   private boolean mayRunOn(Machine machine, Job job, String zone) {
     return shard.isUsable(machine)
+        && !machine.isSmallTask(job.spec())
         && machine.isAllowedFor(job.spec())
         && !job.scheduling().hasFailedOn(machine.name())
         && (zone == null || zone.equals(machine.info().zone()));
@@ -200,6 +208,7 @@
     List<TaskAttempt> candidates = new ArrayList<>();
     for (TaskAttempt attempt : machine.attempts()) {
       if (exitsImmediately(attempt)
+          && freesEnough(attempt.job().spec(), job.spec())
           && attempt.job().scheduling().priority().compareTo(job.scheduling().priority()) > 0) {
         candidates.add(attempt);
       }
@@ -223,6 +232,13 @@
     return Victims.NONE;
   }
 
+  /** Reports whether stopping a task frees a part of the other's need that is worth its loss. */
+  private static boolean freesEnough(JobSpec victim, JobSpec started) {
+    return victim.cpus() > started.cpus() * MIN_FREED_FRACTION
+        || victim.gpus() > started.gpus() * MIN_FREED_FRACTION
+        || victim.memoryGb() > started.memoryGb() * MIN_FREED_FRACTION;
+  }
+
   /** Reports whether the attempt can be stopped and exits without writing a checkpoint. */
   private static boolean exitsImmediately(TaskAttempt attempt) {
     return !attempt.isRevoked()
--- a/src/main/java/shorecrank/coordination/scheduling/ShardView.java
+++ b/src/main/java/shorecrank/coordination/scheduling/ShardView.java
@@ -43,6 +43,9 @@
   /** Reports whether the owner's lease on the shard is valid. */
   boolean isLeaseValid();
 
+  /** Returns the room that the shard's limit leaves for further small tasks. */
+  SmallTaskRoom smallTaskRoom();
+
   /** Returns the resources that a team may still use within its limits. */
   Headroom headroom(String team);
 
--- a/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
+++ b/src/main/java/shorecrank/coordination/shard/HeartbeatReconciler.java
@@ -6,6 +6,7 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.TaskListSpace;
 import shorecrank.coordination.model.WriteUrgency;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.MonotonicTime;
@@ -42,6 +43,7 @@
    */
   boolean reconcile(Machine machine, WorkerHeartbeat heartbeat) {
     boolean freed = false;
+    int otherBytes = 0;
     machine.clearUnrecordedTasks();
     Set<TaskAttempt> unlisted = new LinkedHashSet<>(machine.attempts());
     for (TaskStatus status : heartbeat.tasks()) {
@@ -56,9 +58,13 @@
         unlisted.remove(attempt);
         freed |= hasExited;
         recordObserved(machine, attempt, status);
-      } else if (!hasExited && job != null && index < job.spec().tasks()) {
-        // No record names the attempt: the task must not start elsewhere while it runs here.
-        machine.addUnrecordedTask(job, index);
+        otherBytes += hasExited ? TaskListSpace.bytes(status) : 0;
+      } else {
+        otherBytes += TaskListSpace.bytes(status);
+        if (!hasExited && job != null && index < job.spec().tasks()) {
+          // No record names the attempt: the task must not start elsewhere while it runs here.
+          machine.addUnrecordedTask(job, index);
+        }
       }
     }
     WithdrawalLog log = new WithdrawalLog(context, machine);
@@ -66,6 +72,7 @@
       freed |= reconcileUnlisted(machine, attempt, heartbeat, log);
     }
     log.write();
+    machine.taskList().setOtherBytes(otherBytes);
     return freed;
   }
 
--- a/src/main/java/shorecrank/coordination/shard/ShardDemandReporter.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardDemandReporter.java
@@ -54,7 +54,8 @@
     List<DrainProgress> draining = new ArrayList<>();
     List<MoveId> arrived = new ArrayList<>();
     for (Machine machine : shard.machines().values()) {
-      running += machine.type() == null ? 0 : Math.min(machine.usedCpus(), machine.type().cpus());
+      running +=
+          machine.type() == null ? 0 : Math.min(machine.occupiedCpus(), machine.type().cpus());
       if (machine.assignment().isHandoverRequested()) {
         draining.add(drainProgress(machine));
       } else if (machine.assignment().isAssigned() && machine.type() != null) {
--- a/src/main/java/shorecrank/coordination/shard/ShardState.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardState.java
@@ -8,6 +8,7 @@
 import shorecrank.coordination.model.TeamQuotas.Headroom;
 import shorecrank.coordination.model.WorkerLiveness;
 import shorecrank.coordination.scheduling.ShardView;
+import shorecrank.coordination.scheduling.SmallTaskRoom;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.CloudMessages.MachineType;
 import shorecrank.protocol.Ids.Epoch;
@@ -92,6 +93,12 @@
     return lease.isValid();
   }
 
+  @Override
+  public SmallTaskRoom smallTaskRoom() {
+    return SmallTaskRoom.of(
+        context.config().limits(), context.settings().shards(), machines.machines().values());
+  }
+
   @Override
   public Headroom headroom(String team) {
     return quotas.headroom(team);
--- a/src/main/java/shorecrank/protocol/WorkerHeartbeatCodec.java
+++ b/src/main/java/shorecrank/protocol/WorkerHeartbeatCodec.java
@@ -46,6 +46,16 @@
 
   private static final double NO_RECLAIM_NOTICE = -1;
 
+  /**
+   * Largest size, in bytes, of a task in a heartbeat without its job's id. A worker may write a
+   * space after each separator.
+   */
+  private static final int TASK_BYTES =
+      "{\"piece\": \"/\", \"try\": , \"phase\": \"exited\", \"cause\": \"unknown\", \"kept\": false}, "
+              .length()
+          + Integer.toString(JobSpec.MAX_TASKS).length()
+          + Long.toString(Long.MAX_VALUE).length();
+
   /**
    * Form of a worker's address. Host names are not accepted, because controllers do not resolve
    * them.
@@ -58,6 +68,11 @@
 
   private WorkerHeartbeatCodec() {}
 
+  /** Returns the largest size, in bytes, of a task of the job in a heartbeat, in any state. */
+  public static int maxTaskBytes(JobId job) {
+    return TASK_BYTES + job.value().length();
+  }
+
   /**
    * Reads a heartbeat.
    *
--- a/src/main/java/shorecrank/protocol/WorkerMessages.java
+++ b/src/main/java/shorecrank/protocol/WorkerMessages.java
@@ -13,6 +13,9 @@
    */
   public static final String DIRECT_COMMANDS_PATH = "/orders";
 
+  /** Largest size, in bytes, of a heartbeat, of the answer to one, and of a direct command. */
+  public static final int MAX_MESSAGE_BYTES = 64 * 1024;
+
   private WorkerMessages() {}
 
   /** The state of a task's attempt on its machine. */
--- a/src/test/java/shorecrank/coordination/model/JobBuilder.java
+++ b/src/test/java/shorecrank/coordination/model/JobBuilder.java
@@ -21,6 +21,7 @@
   private int tasks = 1;
   private double cpus = 1;
   private double gpus;
+  private double memoryGb = 1;
   private double imageGb;
   private double estimateS = 10;
   private double deadlineS;
@@ -67,6 +68,12 @@
     return this;
   }
 
+  /** Sets the memory that each task needs, in gigabytes. */
+  public JobBuilder memoryGb(double value) {
+    memoryGb = value;
+    return this;
+  }
+
   /** Sets the size of the job's image in gigabytes. */
   public JobBuilder imageGb(double value) {
     imageGb = value;
@@ -109,7 +116,7 @@
         tasks,
         cpus,
         gpus,
-        1,
+        memoryGb,
         "image",
         imageGb,
         null,
--- a/src/test/java/shorecrank/coordination/scheduling/AutoscalerTest.java
+++ b/src/test/java/shorecrank/coordination/scheduling/AutoscalerTest.java
@@ -131,6 +131,22 @@
     assertEquals("15 t8@a/spot, 15 t8@b/spot", requested());
   }
 
+  /** Guards against small tasks that wait because the fleet seems to have room for all of them. */
+  @Test
+  void smallTasksRequestTheMachinesThatCanListThem() {
+    JobBuilder smallTasks = job(1).tasks(10_000, 0.0001, 0).memoryGb(0.0001).estimateS(120);
+    shard.add(smallTasks);
+    int machines = 0;
+    for (CapacityRequest request : autoscaler.capacityRequests()) {
+      machines += request.count();
+    }
+    // A heartbeat has at most 64 KiB, and a task takes more than 50 bytes of it.
+    int least = 10_000 * 50 / (64 * 1024);
+    assertTrue(machines >= least, machines + " machines");
+    int atOnce = machine(1).build().fittingTasks(smallTasks.spec());
+    assertEquals((10_000 + atOnce - 1) / atOnce, machines, atOnce + " tasks a machine");
+  }
+
   // ---- scale in --------------------------------------------------------------------------------
 
   private List<String> returned() {
--- a/src/test/java/shorecrank/coordination/scheduling/FakeShard.java
+++ b/src/test/java/shorecrank/coordination/scheduling/FakeShard.java
@@ -23,10 +23,12 @@
   private final Map<MachineName, Machine> machines = new TreeMap<>();
   private final Map<JobId, Job> jobs = new TreeMap<>();
   private final Map<String, MachineType> catalog = new TreeMap<>();
+  private final StepContext context;
   private final WorkerLiveness liveness;
   private final TeamQuotas quotas;
 
   FakeShard(StepContext context) {
+    this.context = context;
     liveness = new WorkerLiveness(context, machines.values(), new MonotonicTime(0));
     quotas = new TeamQuotas(context.config().teams(), machines.values());
   }
@@ -95,6 +97,11 @@
     return true;
   }
 
+  @Override
+  public SmallTaskRoom smallTaskRoom() {
+    return SmallTaskRoom.of(context.config().limits(), 1, machines.values());
+  }
+
   @Override
   public Headroom headroom(String team) {
     return quotas.headroom(team);
