Bound the commands in a message to a worker by its size

Cause: CommandPlanner put all commands for a machine into one message, however long.

Change: the commands of one message are collected by their bytes (CommandBatch); what doesn't fit is planned again for the next message, in the order of before, so a start never goes out without a stop before it. Starts are also left out once the worker's own heartbeat would exceed 64 KiB with them. Answers that renew the lease only, answers with all commands, and direct commands use the same planner.

--- a/src/main/java/shorecrank/coordination/model/TaskListSpace.java
+++ b/src/main/java/shorecrank/coordination/model/TaskListSpace.java
@@ -7,6 +7,7 @@
 import shorecrank.protocol.WorkerHeartbeatCodec;
 import shorecrank.protocol.WorkerMessages;
 import shorecrank.protocol.WorkerMessages.TaskStatus;
+import shorecrank.protocol.WorkerMessages.WorkerHeartbeat;
 
 /**
  * The space that a machine's tasks take in the task list of its worker's heartbeats, which is a
@@ -135,6 +136,17 @@
     return WorkerHeartbeatCodec.maxTaskBytes(status.attemptId().job());
   }
 
+  /**
+   * Returns how many bytes of the list the tasks in a heartbeat leave for those that are started.
+   */
+  public static int bytesLeftAfter(WorkerHeartbeat heartbeat) {
+    int bytes = MAX_BYTES;
+    for (TaskStatus status : heartbeat.tasks()) {
+      bytes -= bytes(status);
+    }
+    return bytes;
+  }
+
   /**
    * Sets the bytes that the last heartbeat needs for tasks that are not attempts on the machine,
    * such as those that have exited and were not reaped yet.
--- a/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
+++ b/src/main/java/shorecrank/coordination/shard/CommandPlanner.java
@@ -1,6 +1,5 @@
 package shorecrank.coordination.shard;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -8,10 +7,12 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskAttempt;
+import shorecrank.coordination.model.TaskListSpace;
 import shorecrank.coordination.model.WorkerSession;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.Ids.JobId;
 import shorecrank.protocol.Ids.TaskAttemptId;
+import shorecrank.protocol.WorkerHeartbeatCodec;
 import shorecrank.protocol.WorkerMessages.Reap;
 import shorecrank.protocol.WorkerMessages.Start;
 import shorecrank.protocol.WorkerMessages.Stop;
@@ -57,17 +58,17 @@
    * @return the stops; empty if nothing on the machine is cancelled
    */
   List<WorkerCommand> planCancellationStops(Machine machine, WorkerHeartbeat heartbeat) {
-    List<WorkerCommand> stops = new ArrayList<>();
+    CommandBatch stops = new CommandBatch();
     Set<TaskAttemptId> listed = new HashSet<>();
     for (TaskStatus status : heartbeat.tasks()) {
       listed.add(status.attemptId());
       addStopIfCancelled(status, stops);
     }
     addStopsForUnlisted(machine, listed, stops);
-    return stops;
+    return stops.commands();
   }
 
-  private void addStopIfCancelled(TaskStatus status, List<WorkerCommand> stops) {
+  private void addStopIfCancelled(TaskStatus status, CommandBatch stops) {
     if (status.state() != TaskState.EXITED && isCancelled(status.attemptId().job())) {
       stops.add(new Stop(status.attemptId(), NO_GRACE_S));
     }
@@ -79,7 +80,7 @@
   }
 
   private static void addStopsForUnlisted(
-      Machine machine, Set<TaskAttemptId> listed, List<WorkerCommand> stops) {
+      Machine machine, Set<TaskAttemptId> listed, CommandBatch stops) {
     for (TaskAttempt attempt : machine.attempts()) {
       if (attempt.job().isCancelled()
           && attempt.isCommitted()
@@ -95,13 +96,14 @@
   // ---- all commands ----------------------------------------------------------------------------
 
   /**
-   * Plans all commands to a machine and marks its starts as commanded.
+   * Plans the commands to a machine and marks its starts as commanded. Commands that do not fit
+   * into one message are left to the next one, starts first.
    *
    * @param direct whether the commands are sent in a direct command, not in the answer to a
    *     heartbeat
    */
   List<WorkerCommand> planCommands(Machine machine, boolean direct) {
-    List<WorkerCommand> commands = new ArrayList<>();
+    CommandBatch commands = new CommandBatch();
     Set<TaskAttempt> listed = new HashSet<>();
     for (TaskStatus status : machine.session().lastHeartbeat().tasks()) {
       addForListed(machine, status, direct, listed, commands);
@@ -110,7 +112,7 @@
     machine.session().lastHeartbeat().tasks().forEach(status -> listedIds.add(status.attemptId()));
     addStopsForUnlisted(machine, listedIds, commands);
     addStarts(machine, direct, listed, commands);
-    return commands;
+    return commands.commands();
   }
 
   private void addForListed(
@@ -118,7 +120,7 @@
       TaskStatus status,
       boolean direct,
       Set<TaskAttempt> listed,
-      List<WorkerCommand> commands) {
+      CommandBatch commands) {
     JobId id = status.attemptId().job();
     Job job = jobs.find(id);
     TaskAttempt attempt = job == null ? null : job.tasks().attempt(status.attemptId().index());
@@ -141,7 +143,7 @@
 
   /** Adds the command for an attempt that the worker lists and no record of this shard names. */
   private void addForUnexpected(
-      Machine machine, Job job, TaskStatus status, boolean direct, List<WorkerCommand> commands) {
+      Machine machine, Job job, TaskStatus status, boolean direct, CommandBatch commands) {
     TaskAttemptId id = status.attemptId();
     if (job == null
         && (status.state() == TaskState.EXITED || !isCancelled(id.job()))
@@ -166,7 +168,7 @@
   }
 
   private static void addStopIfDue(
-      Machine machine, TaskAttempt attempt, TaskStatus status, List<WorkerCommand> commands) {
+      Machine machine, TaskAttempt attempt, TaskStatus status, CommandBatch commands) {
     Job job = attempt.job();
     double checkpointS = job.spec().checkpointDurationS();
     if (job.isCancelled()) {
@@ -182,16 +184,22 @@
   }
 
   private void addStarts(
-      Machine machine, boolean direct, Set<TaskAttempt> listed, List<WorkerCommand> commands) {
+      Machine machine, boolean direct, Set<TaskAttempt> listed, CommandBatch commands) {
     int firstStarts = 0;
+    int listBytesLeft = TaskListSpace.bytesLeftAfter(machine.session().lastHeartbeat());
     for (TaskAttempt attempt : machine.attempts()) {
-      if (!listed.contains(attempt) && mayStart(machine, attempt)) {
-        commands.add(new Start(attempt.id()));
-        if (attempt.recordStartSent(direct)) {
-          firstStarts++;
-          context.count("task.commanded");
-          context.count("task.commanded.ms", context.now().since(attempt.placedAt()));
-        }
+      if (listed.contains(attempt) || !mayStart(machine, attempt)) {
+        continue;
+      }
+      listBytesLeft -= WorkerHeartbeatCodec.maxTaskBytes(attempt.job().id());
+      if (listBytesLeft < 0 || !commands.add(new Start(attempt.id()))) {
+        context.count("task.start.deferred");
+        break;
+      }
+      if (attempt.recordStartSent(direct)) {
+        firstStarts++;
+        context.count("task.commanded");
+        context.count("task.commanded.ms", context.now().since(attempt.placedAt()));
       }
     }
     if (firstStarts > 0) {
--- a/src/main/java/shorecrank/protocol/WorkerCommandCodec.java
+++ b/src/main/java/shorecrank/protocol/WorkerCommandCodec.java
@@ -22,8 +22,36 @@
   private static final String GRACE_S = "windDownS";
   private static final String OWNER = "steward";
 
+  /** Size of a command in a message without its values; the longest verb has five letters. */
+  private static final int COMMAND_BYTES =
+      "{\"verb\":\"start\",\"piece\":\"/\",\"try\":},".length();
+
+  /** Size of the field of a stop for its grace period, without the value. */
+  private static final int GRACE_BYTES = ",\"windDownS\":".length();
+
+  /** Space for the fields of a message beside its commands. */
+  private static final int OTHER_FIELDS_BYTES = 256;
+
+  /** Largest size, in bytes, of the commands in an answer to a heartbeat or in a direct command. */
+  public static final int MAX_COMMANDS_BYTES =
+      WorkerMessages.MAX_MESSAGE_BYTES - OTHER_FIELDS_BYTES;
+
   private WorkerCommandCodec() {}
 
+  /** Returns the largest size, in bytes, that a command takes in a message. */
+  public static int maxBytes(WorkerCommand command) {
+    TaskAttemptId attemptId = command.attemptId();
+    int bytes =
+        COMMAND_BYTES
+            + attemptId.job().value().length()
+            + Integer.toString(attemptId.index()).length()
+            + Long.toString(attemptId.attempt().value()).length();
+    if (command instanceof Stop stop) {
+      bytes += GRACE_BYTES + Double.toString(stop.graceS()).length();
+    }
+    return bytes;
+  }
+
   /**
    * Writes the answer to a heartbeat, which renews the worker's lease and holds commands in the
    * order in which the worker is to carry them out.
--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -15,6 +15,7 @@
   private final TaskTracker tasks;
   private final RolloutRule rolloutRule;
   private final ShareRule shareRule;
+  private final MessageSizeRule messageSizeRule;
   private final List<Rule> rules;
 
   Checker(World world) {
@@ -24,6 +25,7 @@
     this.tasks = new TaskTracker(world.sim);
     this.rolloutRule = new RolloutRule(world, this);
     this.shareRule = new ShareRule(world, this);
+    this.messageSizeRule = new MessageSizeRule(violations);
     this.rules =
         List.of(
             new DependencyRule(world, this),
@@ -119,6 +121,16 @@
     tasks.stop(worker, task, world.jobs.plan(task.job()));
   }
 
+  /** Checks a heartbeat that a worker sends. */
+  void heartbeatSent(SimulatedWorker worker, JsonNode heartbeat) {
+    messageSizeRule.check("heartbeat", worker, heartbeat, heartbeat.path("pieces"));
+  }
+
+  /** Checks an answer to a heartbeat, or a direct command, that reaches a worker. */
+  void commandsReceived(SimulatedWorker worker, JsonNode message) {
+    messageSizeRule.check("command message", worker, message, message.path("orders"));
+  }
+
   /** Notifies the rules that a worker is about to execute a start command. */
   void startCommanded(SimulatedWorker worker, String task, long attempt) {
     rules.forEach(rule -> rule.startCommanded(worker, task, attempt));
--- a/src/test/java/shorecrank/sim/SimulatedWorker.java
+++ b/src/test/java/shorecrank/sim/SimulatedWorker.java
@@ -192,6 +192,7 @@
       return;
     }
     checkLease();
+    world.checker.commandsReceived(this, body);
     long senderToken = body.path("epoch").asLong(-1);
     if (senderToken < token || body.path("tenure").asLong(-1) != incarnation) {
       reply.accept(409, heartbeat());
@@ -228,6 +229,7 @@
     nextHeartbeatMs = sim.now() + (long) (world.site.reportS() * MS_PER_S * factor);
     SentHeartbeat sent = new SentHeartbeat(controller, ++heartbeats, incarnation, sim.now());
     ObjectNode body = heartbeat();
+    world.checker.heartbeatSent(this, body);
     world.network.sendHeartbeat(
         this,
         world.controllers().get(controller),
@@ -274,6 +276,7 @@
 
   private void handleAnswer(SentHeartbeat sent, int status, JsonNode answer) {
     heartbeatInFlight = false;
+    world.checker.commandsReceived(this, answer);
     if (status == 200) {
       executeCommands(sent, answer);
       return;
