Do not repeat a long name of an unknown team in the answer

Seen by callers: the answer 422 to a submission repeats the team's name, which may take nearly the whole body.

Change: a name of more than 200 characters is not repeated.

Test: SubmissionRulesTest, red before (192,025 bytes).

--- a/src/main/java/shorecrank/coordination/request/SubmissionRules.java
+++ b/src/main/java/shorecrank/coordination/request/SubmissionRules.java
@@ -10,6 +10,9 @@
 
 /** Finds submissions that can never be accepted, whatever the state of the fleet. */
 final class SubmissionRules {
+  /** A user's text is repeated in an answer if it has at most this many characters. */
+  private static final int MAX_REPEATED_LENGTH = 200;
+
   private final StepContext context;
   private Map<String, MachineType> machineTypes = Map.of();
 
@@ -31,7 +34,8 @@
   Optional<String> findRejectionReason(JobSpec spec) {
     Team team = context.config().teams().get(spec.team());
     if (team == null) {
-      return Optional.of("unknown team " + spec.team());
+      boolean isShort = spec.team().length() <= MAX_REPEATED_LENGTH;
+      return Optional.of(isShort ? "unknown team " + spec.team() : "unknown team");
     }
     if (!MachineConstraints.isSatisfiable(spec, machineTypes)) {
       return Optional.of("no allowed machine type can hold a task");
