Accept a job only if its record has room for its first placement

Seen by callers: a job without dependencies whose record is within 256 bytes of the largest value is accepted with 201.

Cause: JobChangeCodec reserved room for what the owner adds only for jobs with dependencies.

Change: every record has to leave that room, in the plain or in the compact form, of which the owner uses the latter once a plain one was refused. Jobs whose compact record has the room are accepted as before, in the plain form.

--- a/src/main/java/shorecrank/coordination/request/JobChangeCodec.java
+++ b/src/main/java/shorecrank/coordination/request/JobChangeCodec.java
@@ -41,11 +41,13 @@
    * Returns the transaction that creates a job's first record. Its guards refuse it if the job has
    * a live or final record already.
    *
-   * <p>If the job has dependencies, the record has to leave room for what the shard owner adds, and
-   * is written in the compact form if the plain one is too large. Jobs without dependencies always
-   * have the plain form, since versions without job dependencies can't read the compact one.
+   * <p>The record has to leave room for what the shard owner adds, in the plain or in the compact
+   * form. If the job has dependencies, the record is written in the compact form if the plain one
+   * is too large. Jobs without dependencies always have the plain form, since versions without job
+   * dependencies can't read the compact one.
    *
-   * @return empty if the record is larger than the values that the state service accepts
+   * @return empty if the record, or the first one that its owner writes, is larger than the values
+   *     that the state service accepts
    */
   Optional<Transaction> encodeCreation(JobSpec spec) {
     JobRecord record =
@@ -63,16 +65,16 @@
     double limit = context.config().state().valueKb() * BYTES_PER_KB;
     ObjectNode value = record.write();
     int bytes = Json.bytes(value).length;
-    if (spec.dependencies().isEmpty()) {
-      return bytes <= limit ? Optional.of(creation(spec.id(), value)) : Optional.empty();
-    }
     if (bytes + RESERVED_OWNER_BYTES <= limit) {
       return Optional.of(creation(spec.id(), value));
     }
     ObjectNode compact = record.writeCompact();
-    return Json.bytes(compact).length + RESERVED_OWNER_BYTES <= limit
-        ? Optional.of(creation(spec.id(), compact))
-        : Optional.empty();
+    boolean isPlainRequired = spec.dependencies().isEmpty();
+    if (Json.bytes(compact).length + RESERVED_OWNER_BYTES > limit
+        || (isPlainRequired && bytes > limit)) {
+      return Optional.empty();
+    }
+    return Optional.of(creation(spec.id(), isPlainRequired ? value : compact));
   }
 
   private static Transaction creation(JobId id, ObjectNode value) {
--- a/src/test/java/shorecrank/coordination/model/JobBuilder.java
+++ b/src/test/java/shorecrank/coordination/model/JobBuilder.java
@@ -22,6 +22,7 @@
   private double cpus = 1;
   private double gpus;
   private double memoryGb = 1;
+  private String image = "image";
   private double imageGb;
   private double estimateS = 10;
   private double deadlineS;
@@ -74,6 +75,12 @@
     return this;
   }
 
+  /** Sets the name of the job's image. */
+  public JobBuilder image(String value) {
+    image = value;
+    return this;
+  }
+
   /** Sets the size of the job's image in gigabytes. */
   public JobBuilder imageGb(double value) {
     imageGb = value;
@@ -117,7 +124,7 @@
         cpus,
         gpus,
         memoryGb,
-        "image",
+        image,
         imageGb,
         null,
         null,
