Keep the session with a removed machine's worker for its return

(2) A start that was carried out before the removal can be carried out again by a late copy of it: the attempt is reaped under the token of the start, so the worker takes the copy for a new start.

Cause: MachineRegistry.removeAssignment forgets an empty machine with its WorkerSession and CommandTokens. A new one begins at the lowest token of the epoch, which is below those that the worker has seen (1), and doesn't know of the direct starts before (2). This is the one event that begins a machine's tokens anew under an epoch: released machines are gone, records that are read again leave machines as they are, a process never takes an epoch twice, and a new process gets a higher one.

Change: sessions of removed machines are kept for three leases (RemovedSessions), by which time the worker's incarnation has ended with all commands to it. A heartbeat with a token above all that are known here, as after a longer time, raises the next token above it.

--- a/src/main/java/shorecrank/coordination/model/CommandTokens.java
+++ b/src/main/java/shorecrank/coordination/model/CommandTokens.java
@@ -55,10 +55,15 @@
 
   /**
    * Records the token that a heartbeat shows and removes direct starts with a lower token, which
-   * the worker rejects from then on.
+   * the worker rejects from then on. A token above all that this object has returned was sent by
+   * one that is forgotten; the next token is above it, so that the worker accepts it and rejects
+   * the commands sent before.
    */
   void recordShown(FencingToken token) {
     shown = token;
+    if (token.isAbove(current)) {
+      current = token.isLast() ? token : token.next();
+    }
     directStarts.values().removeIf(token::isAbove);
   }
 
--- a/src/main/java/shorecrank/coordination/model/Machine.java
+++ b/src/main/java/shorecrank/coordination/model/Machine.java
@@ -26,7 +26,7 @@
   private final MachineName name;
   private MachineInfo info;
   private MachineType type;
-  private final WorkerSession session = new WorkerSession();
+  private final WorkerSession session;
   private final AssignmentStatus assignment = new AssignmentStatus();
   private final MachineHealth health = new MachineHealth();
   private final ImageCache images = new ImageCache();
@@ -45,10 +45,12 @@
   private final Set<Machine> withFreeCpus;
 
   /**
+   * @param session what is known of the machine's worker
    * @param withFreeCpus a set to which the machine adds itself while it has free processors
    */
-  public Machine(MachineName name, Set<Machine> withFreeCpus) {
+  public Machine(MachineName name, WorkerSession session, Set<Machine> withFreeCpus) {
     this.name = name;
+    this.session = session;
     this.withFreeCpus = withFreeCpus;
   }
 
--- a/src/main/java/shorecrank/coordination/model/WorkerSession.java
+++ b/src/main/java/shorecrank/coordination/model/WorkerSession.java
@@ -100,6 +100,11 @@
     return lastArrivedAt;
   }
 
+  /** Reports whether any heartbeat has ever arrived. */
+  public boolean hasArrived() {
+    return lastArrivedAt != MonotonicTime.NEVER;
+  }
+
   /** Reports whether a confirmed heartbeat has ever arrived. */
   public boolean hasConfirmedHeartbeat() {
     return firstConfirmedAt != MonotonicTime.NEVER;
--- a/src/main/java/shorecrank/coordination/shard/MachineRegistry.java
+++ b/src/main/java/shorecrank/coordination/shard/MachineRegistry.java
@@ -42,6 +42,7 @@
   private final Callbacks callbacks;
   private final MachineHandovers handovers;
   private final Map<MachineName, Machine> machines = new TreeMap<>();
+  private final RemovedSessions removedSessions;
 
   /** Machines with free processors, so that a round in a full fleet examines only a few. */
   private final Set<Machine> machinesWithFreeCpus = new ObjectLinkedOpenHashSet<>();
@@ -66,6 +67,7 @@
     this.references = references;
     this.foreignTasks = foreignTasks;
     this.callbacks = callbacks;
+    this.removedSessions = new RemovedSessions(context);
     this.handovers = new MachineHandovers(references, foreignTasks);
   }
 
@@ -81,7 +83,13 @@
 
   /** Returns the machine of the given name; adds it if it is not known. */
   Machine machine(MachineName name) {
-    return machines.computeIfAbsent(name, absent -> new Machine(absent, machinesWithFreeCpus));
+    return machines.computeIfAbsent(name, this::newMachine);
+  }
+
+  private Machine newMachine(MachineName name) {
+    Machine machine = new Machine(name, removedSessions.take(name), machinesWithFreeCpus);
+    machine.setIdleSince(context.now());
+    return machine;
   }
 
   /** Returns the machines that the shard's records may name. */
@@ -163,6 +171,7 @@
       if (machine.isEmpty()) {
         callbacks.refuseDeferredReply(machine);
         remove(machine);
+        removedSessions.keep(machine);
       }
     }
   }
@@ -171,6 +180,7 @@
   public void removeReleased(Collection<MachineName> names) {
     for (MachineName name : names) {
       handovers.remove(name);
+      removedSessions.remove(name);
       Machine machine = machines.get(name);
       if (machine != null) {
         abandonAll(machine, "released");
@@ -237,6 +247,7 @@
       }
     }
     foreignTasks.removeExpired();
+    removedSessions.removeExpired();
   }
 
   /**
--- a/src/test/java/shorecrank/coordination/model/MachineBuilder.java
+++ b/src/test/java/shorecrank/coordination/model/MachineBuilder.java
@@ -72,7 +72,7 @@
   public Machine build() {
     MachineType type = type(cpus, gpus);
     MachineInfo info = new MachineInfo(name, type.name(), zone, false);
-    Machine machine = new Machine(name, new HashSet<>());
+    Machine machine = new Machine(name, new WorkerSession(), new HashSet<>());
     machine.setInfo(info);
     machine.setType(type);
     MachineAssignment assignment =
