--- a/src/test/java/shorecrank/sim/Checker.java
+++ b/src/test/java/shorecrank/sim/Checker.java
@@ -30,6 +30,7 @@
         List.of(
             new DependencyRule(world, this),
             new SingleExecutionRule(world, this),
+            new StartedOnceRule(world, this),
             new QuotaRule(world, this),
             new RecordedQuotaRule(world, this),
             new PlacementConstraintRule(world, this),
--- a/src/test/java/shorecrank/sim/Network.java
+++ b/src/test/java/shorecrank/sim/Network.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import shorecrank.coordination.step.Input;
 import shorecrank.coordination.step.Output;
+import shorecrank.protocol.HttpStatus;
 
 /** Carries messages between controllers, workers, users and services, with delays and cuts. */
 final class Network {
@@ -16,6 +17,7 @@
   private final DuplicateMessages duplicates;
   private final LateMessages lateCommands;
   private final LateMessages lateCloudChanges;
+  private final CarriedOutStarts carriedOutStarts = new CarriedOutStarts();
   private final StateServiceLink stateService;
 
   Network(World world) {
@@ -38,6 +40,11 @@
     return duplicates;
   }
 
+  /** Returns the direct starts that workers have carried out. */
+  CarriedOutStarts carriedOutStarts() {
+    return carriedOutStarts;
+  }
+
   /** Returns the delays of direct commands. */
   LateMessages lateCommands() {
     return lateCommands;
@@ -153,8 +160,12 @@
       JsonNode body,
       ReplyHandler onAnswer) {
     ReplyHandler reply =
-        (status, report) ->
-            send(cut.apply(WorkerDirection.FROM_WORKER), () -> onAnswer.accept(status, report));
+        (status, report) -> {
+          if (status == HttpStatus.OK) {
+            carriedOutStarts.record(worker, body);
+          }
+          send(cut.apply(WorkerDirection.FROM_WORKER), () -> onAnswer.accept(status, report));
+        };
     send(cut.apply(WorkerDirection.TO_WORKER), () -> worker.takeCommands(body, reply));
     duplicates.onCommandsSent(worker, body);
   }
--- a/src/test/java/shorecrank/sim/NetworkFaults.java
+++ b/src/test/java/shorecrank/sim/NetworkFaults.java
@@ -9,27 +9,18 @@
  */
 final class NetworkFaults {
   static final Map<String, Action.Reader> ACTIONS =
-      Map.of(
-          "cut",
-          NetworkFaults::cut,
-          "isolate-zone",
-          NetworkFaults::isolateZone,
-          "partition-zones",
-          NetworkFaults::partition,
-          "cut-worker",
-          line -> cutWorkers(line, WorkerDirection.BOTH),
-          "cut-answers",
-          line -> cutWorkers(line, WorkerDirection.TO_WORKER),
-          "cut-heartbeats",
-          line -> cutWorkers(line, WorkerDirection.FROM_WORKER),
-          "duplicate-heartbeats",
-          NetworkFaults::duplicateHeartbeats,
-          "replay-to-next-leader",
-          NetworkFaults::replayToNextLeader,
-          "late-commands",
-          line -> holdUp(line, Network::lateCommands),
-          "late-cloud",
-          line -> holdUp(line, Network::lateCloudChanges));
+      Map.ofEntries(
+          Map.entry("cut", NetworkFaults::cut),
+          Map.entry("isolate-zone", NetworkFaults::isolateZone),
+          Map.entry("partition-zones", NetworkFaults::partition),
+          Map.entry("cut-worker", line -> cutWorkers(line, WorkerDirection.BOTH)),
+          Map.entry("cut-answers", line -> cutWorkers(line, WorkerDirection.TO_WORKER)),
+          Map.entry("cut-heartbeats", line -> cutWorkers(line, WorkerDirection.FROM_WORKER)),
+          Map.entry("duplicate-heartbeats", NetworkFaults::duplicateHeartbeats),
+          Map.entry("replay-to-next-leader", NetworkFaults::replayToNextLeader),
+          Map.entry("repeat-starts", NetworkFaults::repeatStarts),
+          Map.entry("late-commands", line -> holdUp(line, Network::lateCommands)),
+          Map.entry("late-cloud", line -> holdUp(line, Network::lateCloudChanges)));
 
   private NetworkFaults() {}
 
@@ -106,6 +97,17 @@
     return world -> world.network.duplicates().replayToNextLeader(durationMs);
   }
 
+  /**
+   * Parses {@code repeat-starts}: delivers a copy of each direct command with starts that a worker
+   * has carried out.
+   */
+  private static Action repeatStarts(ScenarioLine line) {
+    return world -> {
+      world.faults.addFault(0);
+      world.network.carriedOutStarts().deliverCopies();
+    };
+  }
+
   /**
    * Parses {@code NAME SHARE SECONDS UPTO_S}: a share of the messages of one kind gets no answer
    * and is carried out once, up to so many seconds later.
