Remember released machines for takeovers that follow

Cause: the leader tells of a released machine once. A new owner that has not read its records yet doesn't know the machine and ignores this; the records read afterwards add the machine with its attempts, which are given up only after a grace period and a worker's lease. A process that is told before the grant ignores it as well.

A released machine is gone with everything on it, and its name isn't used again.

--- a/src/main/java/shorecrank/coordination/OwnedShards.java
+++ b/src/main/java/shorecrank/coordination/OwnedShards.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import shorecrank.coordination.model.CancellationLog;
+import shorecrank.coordination.shard.ReleasedMachines;
 import shorecrank.coordination.shard.ShardOwner;
 import shorecrank.coordination.step.Input;
 import shorecrank.coordination.step.StepContext;
@@ -54,6 +55,9 @@
   /** The highest epoch at which this process has owned each shard that it has given up. */
   private final Map<ShardId, Epoch> usedEpochs = new TreeMap<>();
 
+  /** Machines of whose release the leader has told, for shards that are granted afterwards. */
+  private final ReleasedMachines released = new ReleasedMachines();
+
   private Map<String, MachineType> machineTypes = Map.of();
 
   /**
@@ -223,6 +227,7 @@
             isSharesEnabled);
     shardOwner.updateCatalog(machineTypes);
     shardOwner.machines().updateAllAssignments(assignments.all());
+    shardOwner.machines().removeReleased(released.names());
     shardOwner.recover();
     shardOwners.put(lease.shard(), shardOwner);
     return shardOwner;
@@ -247,6 +252,7 @@
    * has no capacity, to the shard owners.
    */
   void updateMachines(HeartbeatAnswer answer) {
+    released.add(answer.released(), context.now());
     for (ShardOwner shardOwner : shardOwners.values()) {
       if (answer.isComplete()) {
         shardOwner.machines().updateAllAssignments(assignments.all());
--- a/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
+++ b/src/main/java/shorecrank/coordination/shard/JobLifecycle.java
@@ -98,6 +98,10 @@
 
   private void adoptAttempts(Job job, JobRecord record) {
     for (AttemptRange range : record.live()) {
+      if (machines.isReleased(range.machine())) {
+        job.requestWrite(WriteUrgency.LATER, context.now());
+        continue;
+      }
       Machine machine = machines.machine(range.machine());
       for (int i = range.first(); i < range.first() + range.count(); i++) {
         if (!job.tasks().isDone(i) && job.tasks().attempt(i) == null) {
--- a/src/main/java/shorecrank/coordination/shard/MachineRegistry.java
+++ b/src/main/java/shorecrank/coordination/shard/MachineRegistry.java
@@ -43,6 +43,7 @@
   private final MachineHandovers handovers;
   private final Map<MachineName, Machine> machines = new TreeMap<>();
   private final RemovedSessions removedSessions;
+  private final ReleasedMachines released = new ReleasedMachines();
 
   /** Machines with free processors, so that a round in a full fleet examines only a few. */
   private final Set<Machine> machinesWithFreeCpus = new ObjectLinkedOpenHashSet<>();
@@ -178,6 +179,7 @@
 
   /** Removes machines that were released, and abandons all attempts on them. */
   public void removeReleased(Collection<MachineName> names) {
+    released.add(names, context.now());
     for (MachineName name : names) {
       handovers.remove(name);
       removedSessions.remove(name);
@@ -191,6 +193,11 @@
     }
   }
 
+  /** Reports whether a machine was lately released, so that nothing runs on it. */
+  boolean isReleased(MachineName name) {
+    return released.contains(name);
+  }
+
   private void remove(Machine machine) {
     machines.remove(machine.name());
     machinesWithFreeCpus.remove(machine);
--- a/src/test/java/shorecrank/coordination/shard/ShardOwnerDriver.java
+++ b/src/test/java/shorecrank/coordination/shard/ShardOwnerDriver.java
@@ -49,6 +49,15 @@
 
   /** Acquires the shard, whose records are the given ones. */
   ShardOwnerDriver(List<JobRecord> records) {
+    this(records, List.of());
+  }
+
+  /**
+   * Acquires the shard, whose records are the given ones.
+   *
+   * @param released the machines of whose release the leader tells before the records are read
+   */
+  ShardOwnerDriver(List<JobRecord> records, List<MachineName> released) {
     CancellationLog cancellations = new CancellationLog(driver.context(), id -> {}, other -> {});
     driver.after(
         1000,
@@ -65,6 +74,7 @@
           owner.updateCatalog(Map.of(TYPE.name(), TYPE));
           owner.renewLease(EPOCH, new MonotonicTime(10_000_000));
           owner.recover();
+          owner.machines().removeReleased(released);
         });
     driver.answer(200, page(records));
   }
