Count tasks in an unknown zone for each zone of a spread job

Cause: JobPlacer counts tasks on a machine whose zone the new owner doesn't know yet as a zone of their own. A machine is announced before it is stored, so records may name it first.

Change: such tasks count for each zone until the machine was stored, listed or has reported; tasks that could break the rule wait until then.

--- a/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
+++ b/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
@@ -41,6 +41,9 @@
     }
   }
 
+  /** Stands for the zone of a machine whose zone is not known yet. */
+  private static final String UNKNOWN_ZONE = "";
+
   /** The placement of one job in one round. */
   private final class Placement {
     private final Job job;
@@ -83,7 +86,7 @@
       String lastZone = null;
       for (TaskAttempt attempt : job.tasks().attempts()) {
         Machine machine = attempt.machine();
-        lastZone = machine.info() == null ? "" : machine.info().zone();
+        lastZone = machine.info() == null ? UNKNOWN_ZONE : machine.info().zone();
         tasksByZone.merge(lastZone, 1, Integer::sum);
       }
       requiredZone = spec.singleZone() ? lastZone : null;
@@ -144,8 +147,11 @@
       if (!spec.spreadOverZones()) {
         return tasks;
       }
-      int left = spec.maxTasksPerZone() - tasksByZone.getOrDefault(machine.info().zone(), 0);
-      return Math.min(tasks, left);
+      // A machine whose zone is not known yet may be in any.
+      int inZone =
+          tasksByZone.getOrDefault(machine.info().zone(), 0)
+              + tasksByZone.getOrDefault(UNKNOWN_ZONE, 0);
+      return Math.min(tasks, spec.maxTasksPerZone() - inZone);
     }
 
     private boolean placeOn(Machine machine, int maxTasks) {
--- a/src/test/java/shorecrank/coordination/model/JobBuilder.java
+++ b/src/test/java/shorecrank/coordination/model/JobBuilder.java
@@ -24,6 +24,7 @@
   private double memoryGb = 1;
   private String image = "image";
   private double imageGb;
+  private boolean spreadOverZones;
   private double estimateS = 10;
   private double deadlineS;
   private long acceptedAtMs;
@@ -87,6 +88,12 @@
     return this;
   }
 
+  /** Allows at most half of the tasks, rounded up, in one zone. */
+  public JobBuilder spreadOverZones() {
+    spreadOverZones = true;
+    return this;
+  }
+
   /** Sets the user's estimate of a task's run time, in seconds. */
   public JobBuilder estimateS(double value) {
     estimateS = value;
@@ -129,7 +136,7 @@
         null,
         null,
         false,
-        false,
+        spreadOverZones,
         true,
         estimateS,
         0,
--- a/src/test/java/shorecrank/coordination/shard/ShardOwnerDriver.java
+++ b/src/test/java/shorecrank/coordination/shard/ShardOwnerDriver.java
@@ -106,8 +106,8 @@
     return new MachineName("m-" + number);
   }
 
-  private static MachineInfo info(int number) {
-    return new MachineInfo(machineName(number), TYPE.name(), "a", false);
+  private static MachineInfo info(int number, String zone) {
+    return new MachineInfo(machineName(number), TYPE.name(), zone, false);
   }
 
   /** Returns the machine with a number. */
@@ -115,10 +115,16 @@
     return owner.machines().machine(machineName(number));
   }
 
-  /** Assigns the machine with a number to the shard. */
+  /** Assigns the machine with a number to the shard; it is in zone a. */
   void assign(int number) {
+    assign(number, "a");
+  }
+
+  /** Assigns the machine with a number, which is in the given zone, to the shard. */
+  void assign(int number, String zone) {
     MachineAssignment assignment =
-        new MachineAssignment(info(number), new ShardId(0), 0, Epoch.NONE, false, MoveId.NONE);
+        new MachineAssignment(
+            info(number, zone), new ShardId(0), 0, Epoch.NONE, false, MoveId.NONE);
     driver.now(() -> owner.machines().updateAssignment(assignment));
   }
 
@@ -137,7 +143,7 @@
   /** Returns a heartbeat of a worker's first incarnation. */
   static WorkerHeartbeat heartbeat(
       int number, long sequence, FencingToken token, String address, List<TaskStatus> tasks) {
-    MachineInfo info = info(number);
+    MachineInfo info = info(number, "a");
     return new WorkerHeartbeat(
         info.name(),
         info.type(),
