Report the status and last line of a controller that ends by itself

A soak run was red once with "controller ended by itself: n2" and nothing that told why. Runs with real processes now name the start, the process, its exit status and the last line of its output.

Test: SoakTest ends a controller behind the run's back and expects status 137 and the last line.

--- a/src/test/java/shorecrank/sim/ControllerProcess.java
+++ b/src/test/java/shorecrank/sim/ControllerProcess.java
@@ -38,6 +38,7 @@
   private final Consumer<Runnable> inbox;
   private ProgramVersion version;
   private Process process;
+  private Path output;
   private boolean healthy;
   private long nextProbeMs;
   private long frozenUntilMs;
@@ -88,12 +89,12 @@
       Files.write(file, Json.bytes(NodeConfigWriter.write(world(), this)));
       List<String> command = new ArrayList<>(version.command());
       command.add(file.toString());
-      String output = label() + "-" + startCount() + "-" + version.name() + ".log";
+      output = directory.resolve(label() + "-" + startCount() + "-" + version.name() + ".log");
       process =
           new ProcessBuilder(command)
               .directory(version.directory().toFile())
               .redirectErrorStream(true)
-              .redirectOutput(directory.resolve(output).toFile())
+              .redirectOutput(output.toFile())
               .start();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -151,6 +152,21 @@
     return !isUp() || process.isAlive();
   }
 
+  /** Describes the end of a process that has ended: its exit status and the last line it wrote. */
+  String describeEnd() {
+    return "%s, start %d, pid %d, exit status %d, last line of its output: %s"
+        .formatted(label(), startCount(), process.pid(), process.exitValue(), lastLine());
+  }
+
+  private String lastLine() {
+    try {
+      String text = Files.readString(output).strip();
+      return text.isEmpty() ? "none" : text.substring(text.lastIndexOf('\n') + 1);
+    } catch (IOException e) {
+      return "unreadable: " + e;
+    }
+  }
+
   // ---- requests --------------------------------------------------------------------------------
 
   @Override
--- a/src/test/java/shorecrank/sim/ProcessWorld.java
+++ b/src/test/java/shorecrank/sim/ProcessWorld.java
@@ -97,13 +97,13 @@
   }
 
   /**
-   * Returns the labels of the controllers whose processes have ended without being stopped by the
+   * Describes the ends of the controllers whose processes have ended without being stopped by the
    * test.
    */
   List<String> unexpectedlyEnded() {
     return processes().stream()
         .filter(process -> !process.isAliveOrStoppedByTest())
-        .map(ControllerNode::label)
+        .map(ControllerProcess::describeEnd)
         .toList();
   }
 
--- a/src/test/java/shorecrank/sim/SoakFleet.java
+++ b/src/test/java/shorecrank/sim/SoakFleet.java
@@ -82,7 +82,7 @@
   /** Returns the violations of rules, and the controllers that have ended by themselves. */
   public List<String> violations() {
     List<String> all = new ArrayList<>(world.checker.violations());
-    world.unexpectedlyEnded().forEach(label -> all.add("controller ended by itself: " + label));
+    world.unexpectedlyEnded().forEach(end -> all.add("controller ended by itself: " + end));
     return all;
   }
 
@@ -97,6 +97,11 @@
             (double) world.sim.now() / MS_PER_S);
   }
 
+  /** Ends the process of a controller after some time, to show that such an end is reported. */
+  public void endController(int index, long afterMs) {
+    world.sim.after(afterMs, world.process(index)::destroy);
+  }
+
   /** Has all queries about a job lost once it is accepted, to show that the checks can fail. */
   public void loseRequestsAbout(String job) {
     if (world.checker.answers().isAccepted(job)) {
--- a/src/test/java/shorecrank/soak/SoakTest.java
+++ b/src/test/java/shorecrank/soak/SoakTest.java
@@ -51,6 +51,20 @@
     }
   }
 
+  /** Guards against red runs of which nothing tells why a controller has ended. */
+  @Test
+  void theEndOfAControllerIsReportedWithItsStatusAndLastLine() throws Exception {
+    SoakPlan plan = SoakPlan.withoutFaults(4);
+    try (SoakFleet fleet = new SoakFleet(1, DIRECTORY.resolve("ended"), plan, 10)) {
+      fleet.endController(1, 5000);
+      fleet.run();
+      String reported = String.join("; ", fleet.violations());
+      assertTrue(
+          reported.matches(".*ended by itself: n1, .*exit status 137, last line .*: \\S.*"),
+          reported);
+    }
+  }
+
   /** Runs {@code -Dseeds=N} seeds from {@code -Dfirst=N} on, or only {@code -Dseed=N}. */
   @Tag("soak")
   @Test
