Bound all attempts of a shard by the memory of its owner

The bound on small tasks leaves out tasks just above their limit: there may be some two hundred of those on each machine, and several jobs of 100,000 of them in one shard (320,000 attempts on 1,600 machines in the test).

AttemptRoom replaces SmallTaskRoom.

--- a/src/main/java/shorecrank/config/NodeConfig.java
+++ b/src/main/java/shorecrank/config/NodeConfig.java
@@ -36,6 +36,25 @@
     StateLimits state,
     CloudLimits cloud,
     ProcessLimits limits) {
+  /** Returns the same configuration with at most the given memory, in megabytes. */
+  public NodeConfig withMaxMemoryMb(double megabytes) {
+    ProcessLimits lower =
+        new ProcessLimits(limits.cores(), Math.min(limits.memoryMb(), megabytes), limits.sockets());
+    return new NodeConfig(
+        label,
+        zone,
+        publicAddr,
+        peerBind,
+        members,
+        cloudAddr,
+        stateAddr,
+        teams,
+        objectives,
+        workers,
+        state,
+        cloud,
+        lower);
+  }
 
   /** A host and its port. */
   public record Address(String host, int port) {
--- a/src/main/java/shorecrank/coordination/model/TaskListSpace.java
+++ b/src/main/java/shorecrank/coordination/model/TaskListSpace.java
@@ -107,7 +107,8 @@
 
   // ---- list ------------------------------------------------------------------------------------
 
-  private static int taskBytes(JobSpec spec) {
+  /** Returns the bytes that a task of the job takes of the list. */
+  public static int taskBytes(JobSpec spec) {
     return WorkerHeartbeatCodec.maxTaskBytes(spec.id());
   }
 
--- /dev/null
+++ b/src/main/java/shorecrank/coordination/scheduling/AttemptRoom.java
@@ -0,0 +1,79 @@
+package shorecrank.coordination.scheduling;
+
+import java.util.Collection;
+import shorecrank.config.NodeConfig.ProcessLimits;
+import shorecrank.coordination.model.Job;
+import shorecrank.coordination.model.Machine;
+import shorecrank.coordination.model.TaskListSpace;
+import shorecrank.protocol.JobSpec;
+
+/**
+ * The room for further attempts on all machines of a shard together. Each attempt takes memory of
+ * the shard's owner and processor time in each heartbeat, however small its task is. Both limits
+ * are counted in the bytes that attempts take in heartbeats; an attempt takes several times as many
+ * bytes of the owner's memory. Small tasks have a lower limit, so that they leave others room.
+ */
+public final class AttemptRoom {
+  private static final double BYTES_PER_MB = 1024 * 1024;
+
+  /** The owner's memory divided by this is the limit on the bytes of all attempts. */
+  private static final double MEMORY_DIVISOR = 16;
+
+  /** The owner's memory divided by this is the limit on the bytes of small tasks. */
+  private static final double SMALL_TASKS_MEMORY_DIVISOR = 64;
+
+  private double bytesLeft;
+  private double smallTaskBytesLeft;
+
+  private AttemptRoom(double bytes, double smallTaskBytes) {
+    this.bytesLeft = bytes;
+    this.smallTaskBytesLeft = smallTaskBytes;
+  }
+
+  /**
+   * Returns the room that the attempts of a shard leave.
+   *
+   * @param shards how many shards there are, all of which one process may own
+   */
+  public static AttemptRoom of(
+      ProcessLimits limits, int shards, Collection<Job> jobs, Collection<Machine> machines) {
+    double memoryBytes = limits.memoryMb() * BYTES_PER_MB / shards;
+    AttemptRoom room =
+        new AttemptRoom(memoryBytes / MEMORY_DIVISOR, memoryBytes / SMALL_TASKS_MEMORY_DIVISOR);
+    for (Job job : jobs) {
+      room.bytesLeft -= (double) job.tasks().attemptCount() * TaskListSpace.taskBytes(job.spec());
+    }
+    for (Machine machine : machines) {
+      room.smallTaskBytesLeft -= machine.taskList().smallTaskBytes();
+    }
+    return room;
+  }
+
+  /**
+   * Returns how many tasks of a job there is room for.
+   *
+   * @param smallTaskBytes the bytes that each takes of the part of a task list for small tasks; 0
+   *     for tasks that are not small
+   */
+  int fittingTasks(JobSpec spec, double smallTaskBytes) {
+    double tasks = bytesLeft / TaskListSpace.taskBytes(spec);
+    if (smallTaskBytes > 0) {
+      tasks = Math.min(tasks, smallTaskBytesLeft / smallTaskBytes);
+    }
+    return (int) Math.max(0, tasks);
+  }
+
+  /**
+   * Takes room for as many tasks of a job as there is room for.
+   *
+   * @param tasks the number of tasks that should get room
+   * @param smallTaskBytes see {@link #fittingTasks}
+   * @return the number of tasks that got room
+   */
+  int take(JobSpec spec, int tasks, double smallTaskBytes) {
+    int taken = Math.min(tasks, fittingTasks(spec, smallTaskBytes));
+    bytesLeft -= (double) taken * TaskListSpace.taskBytes(spec);
+    smallTaskBytesLeft -= taken * smallTaskBytes;
+    return taken;
+  }
+}
--- a/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
+++ b/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
@@ -29,11 +29,10 @@
    * Places as many queued tasks of a job as possible, if necessary by preempting other tasks.
    *
    * @param available the machines to choose from; machines that become full are removed
-   * @param smallTaskRoom the room that the shard's limit leaves for small tasks; reduced by those
-   *     that are placed
+   * @param attemptRoom the room for further attempts in the shard; reduced by those that are placed
    */
-  void place(Job job, List<Machine> available, SmallTaskRoom smallTaskRoom) {
-    Placement placement = new Placement(job, available, smallTaskRoom);
+  void place(Job job, List<Machine> available, AttemptRoom attemptRoom) {
+    Placement placement = new Placement(job, available, attemptRoom);
     placement.placeAll();
     placement.preempt();
     if (placement.hasPlaced) {
@@ -49,7 +48,7 @@
     private final Job job;
     private final JobSpec spec;
     private final List<Machine> available;
-    private final SmallTaskRoom smallTaskRoom;
+    private final AttemptRoom attemptRoom;
     private List<Machine> candidates;
     private final Map<String, Integer> tasksByZone = new HashMap<>();
 
@@ -63,11 +62,11 @@
 
     private boolean hasPlaced;
 
-    Placement(Job job, List<Machine> available, SmallTaskRoom smallTaskRoom) {
+    Placement(Job job, List<Machine> available, AttemptRoom attemptRoom) {
       this.job = job;
       this.spec = job.spec();
       this.available = available;
-      this.smallTaskRoom = smallTaskRoom;
+      this.attemptRoom = attemptRoom;
       this.tasksToPlace = queuedTasksToPlace();
       countTasksByZone();
       this.candidates = candidates();
@@ -126,9 +125,9 @@
           return;
         }
         int tasks = tasksFor(machine);
-        if (!smallTaskRoom.hasRoomFor(spec, machine)) {
+        if (!isRoomOn(machine)) {
           candidates = new ArrayList<>(candidates);
-          candidates.removeIf(candidate -> !smallTaskRoom.hasRoomFor(spec, candidate));
+          candidates.removeIf(candidate -> !isRoomOn(candidate));
         } else if (tasks <= 0) {
           String fullZone = machine.info().zone();
           candidates.removeIf(candidate -> candidate.info().zone().equals(fullZone));
@@ -138,6 +137,12 @@
       }
     }
 
+    /** Reports whether the shard's limits on attempts allow another one on the machine. */
+    private boolean isRoomOn(Machine machine) {
+      double smallTaskBytes = TaskListSpace.smallTaskBytes(spec, machine.type());
+      return attemptRoom.fittingTasks(spec, smallTaskBytes) > 0;
+    }
+
     /**
      * Returns how many tasks to place on a machine; 0 or less if its zone has as many tasks of the
      * job as may be in one zone.
@@ -156,7 +161,7 @@
 
     private boolean placeOn(Machine machine, int maxTasks) {
       double smallTaskBytes = TaskListSpace.smallTaskBytes(spec, machine.type());
-      int tasks = attach(machine, smallTaskRoom.take(maxTasks, smallTaskBytes));
+      int tasks = attach(machine, attemptRoom.take(spec, maxTasks, smallTaskBytes));
       if (tasks == 0) {
         return false;
       }
--- a/src/main/java/shorecrank/coordination/scheduling/PlacementRound.java
+++ b/src/main/java/shorecrank/coordination/scheduling/PlacementRound.java
@@ -36,8 +36,8 @@
   /** The machines with free processors, so that a round in a full fleet checks few machines. */
   private final Set<Machine> machinesWithFreeCpus;
 
-  /** The room that the tasks placed so far leave for small tasks; set by each round. */
-  private SmallTaskRoom smallTaskRoom;
+  /** The room for further attempts that those placed so far leave; set by each round. */
+  private AttemptRoom attemptRoom;
 
   /** The job at which the last round ran out of time; null if it was completed. */
   private JobId resumeAt;
@@ -83,7 +83,7 @@
         && waiting.stream().noneMatch(preemption::mayPreempt)) {
       return;
     }
-    smallTaskRoom = shard.smallTaskRoom();
+    attemptRoom = shard.attemptRoom();
     placeAll(sorted(waiting), available, draining, budget);
   }
 
@@ -257,7 +257,7 @@
 
   private void placeIfAllowed(Job job, boolean teamUsageKnown, List<Machine> available) {
     if (teamUsageKnown || !quotas.isLimited(job.spec().team())) {
-      placer.place(job, available, smallTaskRoom);
+      placer.place(job, available, attemptRoom);
     }
   }
 }
--- a/src/main/java/shorecrank/coordination/scheduling/QueuedDemand.java
+++ b/src/main/java/shorecrank/coordination/scheduling/QueuedDemand.java
@@ -12,7 +12,7 @@
  * The queued tasks of one job that wait for machines.
  *
  * @param tasks the number of these tasks, at least 1; without those that wait for their team's
- *     quota or for the shard's limit on small tasks, which need no machine
+ *     quota or for room under the shard's limit on attempts, which need no machine
  * @param cpusEach the processors that each task occupies: those that it asks for, or for a small
  *     task the fraction of a machine's that it takes of the task list, if that is more
  */
@@ -21,14 +21,14 @@
   public static List<QueuedDemand> of(ShardView shard) {
     List<QueuedDemand> demands = new ArrayList<>();
     Map<String, Headroom> headrooms = new HashMap<>();
-    SmallTaskRoom smallTaskRoom = shard.smallTaskRoom();
+    AttemptRoom attemptRoom = shard.attemptRoom();
     for (Job job : shard.jobs().values()) {
       if (job.queuedTaskCount() == 0 || job.scheduling().isBackingOff()) {
         continue;
       }
       Headroom headroom = headrooms.computeIfAbsent(job.spec().team(), shard::headroom);
       double smallTaskBytes = TaskListSpace.fewestSmallTaskBytes(job.spec(), shard.catalog());
-      int tasks = smallTaskRoom.take(headroom.queuedTasksThatFit(job), smallTaskBytes);
+      int tasks = attemptRoom.take(job.spec(), headroom.queuedTasksThatFit(job), smallTaskBytes);
       if (tasks > 0) {
         double occupiedCpus = TaskListSpace.occupiedCpus(job.spec(), shard.catalog());
         demands.add(new QueuedDemand(job, tasks, Math.max(job.spec().cpus(), occupiedCpus)));
--- a/src/main/java/shorecrank/coordination/scheduling/ShardView.java
+++ b/src/main/java/shorecrank/coordination/scheduling/ShardView.java
@@ -43,8 +43,8 @@
   /** Reports whether the owner's lease on the shard is valid. */
   boolean isLeaseValid();
 
-  /** Returns the room that the shard's limit leaves for further small tasks. */
-  SmallTaskRoom smallTaskRoom();
+  /** Returns the room for further attempts on all machines of the shard together. */
+  AttemptRoom attemptRoom();
 
   /** Returns the resources that a team may still use within its limits. */
   Headroom headroom(String team);
--- a/src/main/java/shorecrank/coordination/shard/ShardState.java
+++ b/src/main/java/shorecrank/coordination/shard/ShardState.java
@@ -7,8 +7,8 @@
 import shorecrank.coordination.model.TeamQuotas;
 import shorecrank.coordination.model.TeamQuotas.Headroom;
 import shorecrank.coordination.model.WorkerLiveness;
+import shorecrank.coordination.scheduling.AttemptRoom;
 import shorecrank.coordination.scheduling.ShardView;
-import shorecrank.coordination.scheduling.SmallTaskRoom;
 import shorecrank.coordination.step.StepContext;
 import shorecrank.protocol.CloudMessages.MachineType;
 import shorecrank.protocol.Ids.Epoch;
@@ -94,9 +94,12 @@
   }
 
   @Override
-  public SmallTaskRoom smallTaskRoom() {
-    return SmallTaskRoom.of(
-        context.config().limits(), context.settings().shards(), machines.machines().values());
+  public AttemptRoom attemptRoom() {
+    return AttemptRoom.of(
+        context.config().limits(),
+        context.settings().shards(),
+        jobs.all().values(),
+        machines.machines().values());
   }
 
   @Override
--- a/src/main/java/shorecrank/daemon/DaemonConfig.java
+++ b/src/main/java/shorecrank/daemon/DaemonConfig.java
@@ -23,6 +23,7 @@
  */
 record DaemonConfig(
     NodeConfig node, Settings settings, RolloutSetup rollout, ShareSettings shares) {
+  private static final double BYTES_PER_MB = 1024 * 1024;
 
   /** Reads a configuration file and parses it into an object of type {@code T}. */
   private interface Reader<T> {
@@ -44,7 +45,10 @@
     if (sharesFile.isPresent() && rolloutFile.isEmpty()) {
       throw new StartupException("--shares needs --rollout FILE");
     }
-    NodeConfig node = read(nodeFile, file -> NodeConfigFile.read(Files.readAllBytes(file)));
+    // The platform's limit holds for the whole process; the state of the controller is on the heap.
+    NodeConfig node =
+        read(nodeFile, file -> NodeConfigFile.read(Files.readAllBytes(file)))
+            .withMaxMemoryMb(Runtime.getRuntime().maxMemory() / BYTES_PER_MB);
     Settings settings = SettingsFile.defaults();
     if (settingsFile.isPresent()) {
       settings = read(settingsFile.get(), file -> SettingsFile.read(Files.readString(file)));
--- a/src/test/java/shorecrank/coordination/scheduling/FakeShard.java
+++ b/src/test/java/shorecrank/coordination/scheduling/FakeShard.java
@@ -98,8 +98,8 @@
   }
 
   @Override
-  public SmallTaskRoom smallTaskRoom() {
-    return SmallTaskRoom.of(context.config().limits(), 1, machines.values());
+  public AttemptRoom attemptRoom() {
+    return AttemptRoom.of(context.config().limits(), 1, jobs.values(), machines.values());
   }
 
   @Override
--- a/src/test/java/shorecrank/coordination/shard/SmallTasksTest.java
+++ b/src/test/java/shorecrank/coordination/shard/SmallTasksTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import shorecrank.coordination.model.JobBuilder;
@@ -42,22 +43,25 @@
   /** Largest size, in bytes, of a body and of a line of an answer, by the workers' protocol. */
   private static final int MAX_MESSAGE_BYTES = 64 * 1024;
 
-  /** An attempt takes less than this of the owner's heap, all indexes and messages included. */
-  private static final double ATTEMPT_MB = 1.0 / 1024;
-
-  /** The part of a process's memory that attempts of small tasks may take. */
-  private static final double ATTEMPTS_MEMORY_FRACTION = 0.25;
-
+  private static final double BYTES_PER_MB = 1024 * 1024;
   private static final int JOBS = 4;
 
   private static JobBuilder smallTasks(int number) {
-    return JobBuilder.job(number).tasks(JobSpec.MAX_TASKS, 0.0001, 0).memoryGb(0.0001);
+    return tasks(number, 0.0001);
+  }
+
+  private static JobBuilder tasks(int number, double memoryGb) {
+    return JobBuilder.job(number).tasks(JobSpec.MAX_TASKS, 0.00001, 0).memoryGb(memoryGb);
   }
 
   private static ShardOwnerDriver ownerOfSmallTasks() {
+    return ownerOfTasks(0.0001);
+  }
+
+  private static ShardOwnerDriver ownerOfTasks(double memoryGb) {
     List<JobRecord> records = new ArrayList<>();
     for (int number = 1; number <= JOBS; number++) {
-      records.add(smallTasks(number).record());
+      records.add(tasks(number, memoryGb).record());
     }
     return new ShardOwnerDriver(records);
   }
@@ -90,18 +94,28 @@
     }
   }
 
-  /** Guards against owners that end for memory, one after the other, with the same records. */
-  @Test
-  void attemptsOfSmallTasksInAShardFitIntoTheOwnersMemory() {
-    ShardOwnerDriver shard = ownerOfSmallTasks();
-    shard.addMachines(400);
+  /**
+   * Guards against owners that end for memory, one after the other, with the same records. Machines
+   * have 1000 GB: tasks of 5 GB are not small, but there may be 200 of them on a machine. An
+   * attempt takes less than 512 bytes of the heap, all indexes and messages included.
+   *
+   * @param attemptBytes the bytes that are allowed for each attempt
+   * @param memoryFraction the part of a process's memory that these may take
+   */
+  @ParameterizedTest
+  @CsvSource({"0.0001, 400, 1024, 0.25", "5, 1600, 512, 0.35"})
+  void attemptsInAShardFitIntoTheOwnersMemory(
+      double taskMemoryGb, int machines, int attemptBytes, double memoryFraction) {
+    ShardOwnerDriver shard = ownerOfTasks(taskMemoryGb);
+    shard.addMachines(machines);
     shard.runRounds();
     int attempts = 0;
     for (Machine machine : shard.owner().machines().machines().values()) {
       attempts += machine.attempts().size();
     }
-    double memoryMb = StepDriver.CONFIG.limits().memoryMb() * ATTEMPTS_MEMORY_FRACTION;
-    assertTrue(attempts * ATTEMPT_MB < memoryMb, attempts + " attempts");
+    double maxMb = StepDriver.CONFIG.limits().memoryMb() * memoryFraction;
+    assertTrue(attempts > 0, "no attempts");
+    assertTrue(attempts * attemptBytes / BYTES_PER_MB < maxMb, attempts + " attempts");
   }
 
   /** Guards against small tasks that keep the tasks of other jobs off machines with room. */
