--- a/src/test/java/shorecrank/coordination/OwnedShardsTest.java
+++ b/src/test/java/shorecrank/coordination/OwnedShardsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.BitSet;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import shorecrank.coordination.model.CancellationLog;
@@ -12,16 +11,12 @@
 import shorecrank.coordination.step.StepDriver;
 import shorecrank.protocol.HeartbeatMessages.HeartbeatAnswer;
 import shorecrank.protocol.HeartbeatMessages.Lease;
-import shorecrank.protocol.Ids.AttemptNumber;
 import shorecrank.protocol.Ids.Epoch;
-import shorecrank.protocol.Ids.Incarnation;
 import shorecrank.protocol.Ids.MachineName;
 import shorecrank.protocol.Ids.ShardId;
-import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.Json;
 import shorecrank.rollout.FeatureGate;
 import shorecrank.storage.JobRecord;
-import shorecrank.storage.JobRecord.AttemptRange;
 
 /** Tests what a process keeps for the shards that it is granted later. */
 class OwnedShardsTest {
@@ -46,20 +41,7 @@
   private static ObjectNode pageWithTasksOn(MachineName... machines) {
     ObjectNode page = Json.object().put("ledgerRev", 10).put("truncated", false);
     for (int number = 1; number <= machines.length; number++) {
-      AttemptRange range =
-          new AttemptRange(0, 1, machines[number - 1], new Incarnation(1), new AttemptNumber(1));
-      JobRecord record =
-          new JobRecord(
-              JobBuilder.job(number).spec(),
-              new Epoch(4),
-              WriterId.NONE,
-              1,
-              new BitSet(),
-              List.of(range),
-              1,
-              false,
-              0,
-              0);
+      JobRecord record = JobBuilder.job(number).recordOn(machines[number - 1], 1);
       page.withArray("entries")
           .addObject()
           .put("k", JobRecord.liveKey(record.spec().id()))
--- a/src/test/java/shorecrank/coordination/model/JobBuilder.java
+++ b/src/test/java/shorecrank/coordination/model/JobBuilder.java
@@ -4,13 +4,17 @@
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
+import shorecrank.protocol.Ids.AttemptNumber;
 import shorecrank.protocol.Ids.Epoch;
+import shorecrank.protocol.Ids.Incarnation;
 import shorecrank.protocol.Ids.JobId;
+import shorecrank.protocol.Ids.MachineName;
 import shorecrank.protocol.Ids.Revision;
 import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.JobSpec.Priority;
 import shorecrank.storage.JobRecord;
+import shorecrank.storage.JobRecord.AttemptRange;
 
 /** Builds jobs for tests, by default with one task that needs one processor and runs for 10 s. */
 public final class JobBuilder {
@@ -151,6 +155,27 @@
         spec(), Epoch.NONE, WriterId.NONE, 0, new BitSet(), List.of(), 0, false, acceptedAtMs, 0);
   }
 
+  /**
+   * Returns a record of the job by an earlier owner, which has placed its first tasks on a machine.
+   *
+   * @param count how many tasks are on the machine
+   */
+  public JobRecord recordOn(MachineName machine, int count) {
+    AttemptRange range =
+        new AttemptRange(0, count, machine, new Incarnation(1), new AttemptNumber(1));
+    return new JobRecord(
+        spec(),
+        new Epoch(4),
+        WriterId.NONE,
+        1,
+        new BitSet(),
+        List.of(range),
+        1,
+        false,
+        acceptedAtMs,
+        0);
+  }
+
   /** Returns the job, with a record that no shard owner has claimed yet. */
   public Job build() {
     return new Job(record(), new Revision(1), 1, new HashSet<>());
--- a/src/test/java/shorecrank/coordination/shard/SmallTasksTest.java
+++ b/src/test/java/shorecrank/coordination/shard/SmallTasksTest.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,11 +19,8 @@
 import shorecrank.coordination.step.Output;
 import shorecrank.coordination.step.StepDriver;
 import shorecrank.protocol.Ids.AttemptNumber;
-import shorecrank.protocol.Ids.Epoch;
 import shorecrank.protocol.Ids.FencingToken;
-import shorecrank.protocol.Ids.Incarnation;
 import shorecrank.protocol.Ids.TaskAttemptId;
-import shorecrank.protocol.Ids.WriterId;
 import shorecrank.protocol.JobSpec;
 import shorecrank.protocol.Json;
 import shorecrank.protocol.WorkerMessages.ExitReason;
@@ -32,7 +28,6 @@
 import shorecrank.protocol.WorkerMessages.TaskStatus;
 import shorecrank.protocol.WorkerMessages.WorkerHeartbeat;
 import shorecrank.storage.JobRecord;
-import shorecrank.storage.JobRecord.AttemptRange;
 
 /**
  * Tests that a shard's owner bounds what grows with the number of small tasks, which users choose:
@@ -197,21 +192,7 @@
   void adoptedAttemptsOfAnEarlierVersionStartInPartsThatFitIntoMessages() {
     int tasks = 5000;
     JobBuilder job = JobBuilder.job(7).tasks(tasks, 0.0001, 0).memoryGb(0.0001);
-    AttemptRange range =
-        new AttemptRange(
-            0, tasks, ShardOwnerDriver.machineName(1), new Incarnation(1), new AttemptNumber(1));
-    JobRecord record =
-        new JobRecord(
-            job.spec(),
-            new Epoch(4),
-            WriterId.NONE,
-            1,
-            new BitSet(),
-            List.of(range),
-            1,
-            false,
-            0,
-            0);
+    JobRecord record = job.recordOn(ShardOwnerDriver.machineName(1), tasks);
     ShardOwnerDriver shard = new ShardOwnerDriver(List.of(record));
     shard.addMachines(1);
     Set<String> started = new HashSet<>();
--- a/src/test/java/shorecrank/coordination/shard/UnknownZoneTest.java
+++ b/src/test/java/shorecrank/coordination/shard/UnknownZoneTest.java
@@ -2,16 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.BitSet;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import shorecrank.coordination.model.JobBuilder;
-import shorecrank.protocol.Ids.AttemptNumber;
-import shorecrank.protocol.Ids.Epoch;
-import shorecrank.protocol.Ids.Incarnation;
-import shorecrank.protocol.Ids.WriterId;
 import shorecrank.storage.JobRecord;
-import shorecrank.storage.JobRecord.AttemptRange;
 
 /** Tests placements of a job with tasks on a machine whose zone the owner does not know yet. */
 class UnknownZoneTest {
@@ -19,25 +13,7 @@
   private static final JobBuilder JOB = JobBuilder.job(7).tasks(TASKS, 1, 0).spreadOverZones();
 
   private static ShardOwnerDriver takeOver(int tasksOnUnknownMachine) {
-    AttemptRange range =
-        new AttemptRange(
-            0,
-            tasksOnUnknownMachine,
-            ShardOwnerDriver.machineName(2),
-            new Incarnation(1),
-            new AttemptNumber(1));
-    JobRecord record =
-        new JobRecord(
-            JOB.spec(),
-            new Epoch(4),
-            WriterId.NONE,
-            1,
-            new BitSet(),
-            List.of(range),
-            1,
-            false,
-            0,
-            0);
+    JobRecord record = JOB.recordOn(ShardOwnerDriver.machineName(2), tasksOnUnknownMachine);
     ShardOwnerDriver shard = new ShardOwnerDriver(List.of(record));
     shard.addMachines(1);
     shard.runRounds();
