--- a/src/main/java/shorecrank/coordination/model/TaskListSpace.java
+++ b/src/main/java/shorecrank/coordination/model/TaskListSpace.java
@@ -97,10 +97,12 @@
     return smallTaskBytes / SMALL_TASKS_BYTES;
   }
 
+  /** Adds tasks of a job to the part for small tasks, or removes them if the number is negative. */
   void useSmallTasks(JobSpec spec, MachineType type, int tasks) {
     smallTaskBytes += tasks * smallTaskBytes(spec, type);
   }
 
+  /** Removes all tasks from the part for small tasks, before they are counted again. */
   void clearSmallTasks() {
     smallTaskBytes = 0;
   }
@@ -112,6 +114,7 @@
     return WorkerHeartbeatCodec.maxTaskBytes(spec.id());
   }
 
+  /** Adds an attempt that is placed on the machine. */
   void addAttempt(TaskAttempt attempt) {
     attemptBytes += taskBytes(attempt.job().spec());
   }
--- a/src/main/java/shorecrank/coordination/shard/RemovedSessions.java
+++ b/src/main/java/shorecrank/coordination/shard/RemovedSessions.java
@@ -22,6 +22,7 @@
    */
   private static final double RETENTION_LEASES = 3;
 
+  /** A session and when its machine was removed. */
   private record RemovedSession(WorkerSession session, MonotonicTime removedAt) {}
 
   private final StepContext context;
--- a/src/test/java/shorecrank/sim/LateStartCopiesTest.java
+++ b/src/test/java/shorecrank/sim/LateStartCopiesTest.java
@@ -77,6 +77,7 @@
     }
   }
 
+  /** Returns all combinations of tasks, returns, and whether the copy precedes the heartbeat. */
   static List<Arguments> cells() {
     List<Arguments> cells = new ArrayList<>();
     for (Tasks tasks : Tasks.values()) {
--- a/src/test/java/shorecrank/sim/StartedOnceRule.java
+++ b/src/test/java/shorecrank/sim/StartedOnceRule.java
@@ -9,6 +9,7 @@
  * for a new one.
  */
 final class StartedOnceRule extends Rule {
+  /** An attempt on a machine. */
   private record MachineAttempt(String machine, String task, long attempt) {}
 
   private final Set<MachineAttempt> started = new HashSet<>();
