Leave room beside one job of small tasks for others of the kind

One job of small tasks could take all room for small tasks on all machines, and others of the kind waited until its tasks ended, beside machines with processors and memory to spare. A job may now use half of what the small tasks of other jobs leave, and at least one task if there is any room. Rent counts with the same bound.

--- a/src/main/java/shorecrank/coordination/model/TaskListSpace.java
+++ b/src/main/java/shorecrank/coordination/model/TaskListSpace.java
@@ -82,6 +82,11 @@
         .orElse(0);
   }
 
+  /** Returns the bytes of the parts for small tasks on a number of machines. */
+  public static double smallTaskCapacity(int machines) {
+    return (double) machines * SMALL_TASKS_BYTES;
+  }
+
   private static Stream<MachineType> allowedTypes(JobSpec spec, Map<String, MachineType> catalog) {
     return catalog.values().stream()
         .filter(type -> spec.machineTypes() == null || spec.machineTypes().contains(type.name()));
--- a/src/main/java/shorecrank/coordination/scheduling/AttemptRoom.java
+++ b/src/main/java/shorecrank/coordination/scheduling/AttemptRoom.java
@@ -5,13 +5,13 @@
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
 import shorecrank.coordination.model.TaskListSpace;
-import shorecrank.protocol.JobSpec;
 
 /**
  * The room for further attempts on all machines of a shard together. Each attempt takes memory of
  * the shard's owner and processor time in each heartbeat, however small its task is. Both limits
  * are counted in the bytes that attempts take in heartbeats; an attempt takes several times as many
- * bytes of the owner's memory. Small tasks have a lower limit, so that they leave others room.
+ * bytes of the owner's memory. Small tasks have a lower limit, so that they leave others room, and
+ * no job may use more than half of what the small tasks of other jobs leave.
  */
 public final class AttemptRoom {
   private static final double BYTES_PER_MB = 1024 * 1024;
@@ -22,10 +22,12 @@
   /** The owner's memory divided by this is the limit on the bytes of small tasks. */
   private static final double SMALL_TASKS_MEMORY_DIVISOR = 64;
 
+  private final double smallTaskLimit;
   private double bytesLeft;
   private double smallTaskBytesLeft;
 
   private AttemptRoom(double bytes, double smallTaskBytes) {
+    this.smallTaskLimit = smallTaskBytes;
     this.bytesLeft = bytes;
     this.smallTaskBytesLeft = smallTaskBytes;
   }
@@ -49,20 +51,34 @@
     return room;
   }
 
+  /** Limits the room for small tasks to what the task lists of this many machines hold. */
+  AttemptRoom withinMachines(int machines) {
+    smallTaskBytesLeft -= Math.max(0, smallTaskLimit - TaskListSpace.smallTaskCapacity(machines));
+    return this;
+  }
+
   /**
-   * Returns how many tasks of a job there is room for.
+   * Returns how many tasks of a job there is room for. A job of small tasks without an attempt gets
+   * room for one if there is any.
    *
    * @param smallTaskBytes the bytes that each takes of the part of a task list for small tasks; 0
    *     for tasks that are not small
    */
-  int fittingTasks(JobSpec spec, double smallTaskBytes) {
-    double tasks = bytesLeft / TaskListSpace.taskBytes(spec);
+  int fittingTasks(Job job, double smallTaskBytes) {
+    double tasks = bytesLeft / TaskListSpace.taskBytes(job.spec());
     if (smallTaskBytes > 0) {
-      tasks = Math.min(tasks, smallTaskBytesLeft / smallTaskBytes);
+      tasks = Math.min(tasks, fittingSmallTasks(job, smallTaskBytes));
     }
     return (int) Math.max(0, tasks);
   }
 
+  private double fittingSmallTasks(Job job, double smallTaskBytes) {
+    int attempts = job.tasks().attemptCount();
+    double leftByOthers = smallTaskBytesLeft / smallTaskBytes + attempts;
+    double half = leftByOthers / 2 - attempts;
+    return attempts == 0 && leftByOthers >= 1 ? Math.max(1, half) : half;
+  }
+
   /**
    * Takes room for as many tasks of a job as there is room for.
    *
@@ -70,9 +86,9 @@
    * @param smallTaskBytes see {@link #fittingTasks}
    * @return the number of tasks that got room
    */
-  int take(JobSpec spec, int tasks, double smallTaskBytes) {
-    int taken = Math.min(tasks, fittingTasks(spec, smallTaskBytes));
-    bytesLeft -= (double) taken * TaskListSpace.taskBytes(spec);
+  int take(Job job, int tasks, double smallTaskBytes) {
+    int taken = Math.min(tasks, fittingTasks(job, smallTaskBytes));
+    bytesLeft -= (double) taken * TaskListSpace.taskBytes(job.spec());
     smallTaskBytesLeft -= taken * smallTaskBytes;
     return taken;
   }
--- a/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
+++ b/src/main/java/shorecrank/coordination/scheduling/JobPlacer.java
@@ -140,7 +140,7 @@
     /** Reports whether the shard's limits on attempts allow another one on the machine. */
     private boolean isRoomOn(Machine machine) {
       double smallTaskBytes = TaskListSpace.smallTaskBytes(spec, machine.type());
-      return attemptRoom.fittingTasks(spec, smallTaskBytes) > 0;
+      return attemptRoom.fittingTasks(job, smallTaskBytes) > 0;
     }
 
     /**
@@ -161,7 +161,7 @@
 
     private boolean placeOn(Machine machine, int maxTasks) {
       double smallTaskBytes = TaskListSpace.smallTaskBytes(spec, machine.type());
-      int tasks = attach(machine, attemptRoom.take(spec, maxTasks, smallTaskBytes));
+      int tasks = attach(machine, attemptRoom.take(job, maxTasks, smallTaskBytes));
       if (tasks == 0) {
         return false;
       }
--- a/src/main/java/shorecrank/coordination/scheduling/PlacementRound.java
+++ b/src/main/java/shorecrank/coordination/scheduling/PlacementRound.java
@@ -83,7 +83,7 @@
         && waiting.stream().noneMatch(preemption::mayPreempt)) {
       return;
     }
-    attemptRoom = shard.attemptRoom();
+    attemptRoom = shard.attemptRoom().withinMachines(machinesWithFreeCpus.size());
     placeAll(sorted(waiting), available, draining, budget);
   }
 
--- a/src/main/java/shorecrank/coordination/scheduling/QueuedDemand.java
+++ b/src/main/java/shorecrank/coordination/scheduling/QueuedDemand.java
@@ -28,7 +28,7 @@
       }
       Headroom headroom = headrooms.computeIfAbsent(job.spec().team(), shard::headroom);
       double smallTaskBytes = TaskListSpace.fewestSmallTaskBytes(job.spec(), shard.catalog());
-      int tasks = attemptRoom.take(job.spec(), headroom.queuedTasksThatFit(job), smallTaskBytes);
+      int tasks = attemptRoom.take(job, headroom.queuedTasksThatFit(job), smallTaskBytes);
       if (tasks > 0) {
         double occupiedCpus = TaskListSpace.occupiedCpus(job.spec(), shard.catalog());
         demands.add(new QueuedDemand(job, tasks, Math.max(job.spec().cpus(), occupiedCpus)));
