Count only small attempts for a job's half of the room

A job's attempts on machines where they are not small counted for its half of the room for small tasks, so its tasks could wait beside larger machines with room. Found by reading again; nothing has shown it in a run.

Test: AttemptRoomTest, red on the commit before (19,648 tasks fit where 19,698 do).

--- a/src/main/java/shorecrank/coordination/scheduling/AttemptRoom.java
+++ b/src/main/java/shorecrank/coordination/scheduling/AttemptRoom.java
@@ -1,10 +1,14 @@
 package shorecrank.coordination.scheduling;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import shorecrank.config.NodeConfig.ProcessLimits;
 import shorecrank.coordination.model.Job;
 import shorecrank.coordination.model.Machine;
+import shorecrank.coordination.model.TaskAttempt;
 import shorecrank.coordination.model.TaskListSpace;
+import shorecrank.protocol.Ids.JobId;
 
 /**
  * The room for further attempts on all machines of a shard together. Each attempt takes memory of
@@ -23,6 +27,10 @@
   private static final double SMALL_TASKS_MEMORY_DIVISOR = 64;
 
   private final double smallTaskLimit;
+
+  /** The bytes of small tasks by job, for the jobs that have asked for room. */
+  private final Map<JobId, Double> usedSmallTaskBytes = new HashMap<>();
+
   private double bytesLeft;
   private double smallTaskBytesLeft;
 
@@ -64,7 +72,7 @@
    * @param smallTaskBytes the bytes that each takes of the part of a task list for small tasks; 0
    *     for tasks that are not small
    */
-  int fittingTasks(Job job, double smallTaskBytes) {
+  public int fittingTasks(Job job, double smallTaskBytes) {
     double tasks = bytesLeft / TaskListSpace.taskBytes(job.spec());
     if (smallTaskBytes > 0) {
       tasks = Math.min(tasks, fittingSmallTasks(job, smallTaskBytes));
@@ -73,10 +81,24 @@
   }
 
   private double fittingSmallTasks(Job job, double smallTaskBytes) {
-    int attempts = job.tasks().attemptCount();
-    double leftByOthers = smallTaskBytesLeft / smallTaskBytes + attempts;
-    double half = leftByOthers / 2 - attempts;
-    return attempts == 0 && leftByOthers >= 1 ? Math.max(1, half) : half;
+    double usedBytes = usedSmallTaskBytes(job);
+    double half = (smallTaskBytesLeft + usedBytes) / 2 - usedBytes;
+    boolean isFirst = usedBytes <= 0 && smallTaskBytesLeft >= smallTaskBytes;
+    return isFirst ? Math.max(1, half / smallTaskBytes) : half / smallTaskBytes;
+  }
+
+  /** Returns the bytes that a job's attempts use, of those on machines where they are small. */
+  private double usedSmallTaskBytes(Job job) {
+    Double known = usedSmallTaskBytes.get(job.id());
+    if (known != null) {
+      return known;
+    }
+    double bytes = 0;
+    for (TaskAttempt attempt : job.tasks().attempts()) {
+      bytes += TaskListSpace.smallTaskBytes(job.spec(), attempt.machine().type());
+    }
+    usedSmallTaskBytes.put(job.id(), bytes);
+    return bytes;
   }
 
   /**
@@ -89,7 +111,10 @@
   int take(Job job, int tasks, double smallTaskBytes) {
     int taken = Math.min(tasks, fittingTasks(job, smallTaskBytes));
     bytesLeft -= (double) taken * TaskListSpace.taskBytes(job.spec());
-    smallTaskBytesLeft -= taken * smallTaskBytes;
+    if (smallTaskBytes > 0) {
+      smallTaskBytesLeft -= taken * smallTaskBytes;
+      usedSmallTaskBytes.merge(job.id(), taken * smallTaskBytes, Double::sum);
+    }
     return taken;
   }
 }
